--- /dev/null
+++ b/crates/simhost/src/instance.rs
@@ -0,0 +1,286 @@
+//! One instance: the module, and the desk that turns its calls into actions of the wire.
+
+use crate::readings::Readings;
+use crate::wire::{Fields, Malformed, Reply};
+use fernglade::choice::Mixer;
+use fernglade::{Host, Landing, Listing, Moment, PartTaken, ScanId, ScanTaken, Searcher, Span, Ticket};
+use std::collections::HashMap;
+
+/// A line of a numbered list, as it was sent.
+#[derive(Clone, Copy)]
+pub struct Entry {
+    pub wire_id: u32,
+    pub zone: u8,
+    pub status: u8,
+    pub cell: u16,
+    pub started: u64,
+}
+
+/// A scan that is open: its wire ids, and how many relays each part has had.
+#[derive(Default)]
+struct Slot {
+    turn: u32,
+    open: bool,
+    corr: u64,
+    job: u32,
+    parts: Vec<(u64, u16)>,
+}
+
+/// Where ids become small indices, and calls become actions. What it holds of a scan goes with its final
+/// answer; what it holds of a relay goes with its result.
+struct Desk<'a> {
+    books: &'a mut Books,
+    reply: &'a mut Reply,
+    now: Moment,
+}
+
+#[derive(Default)]
+struct Books {
+    number: u16,
+    slots: Vec<Slot>,
+    free: Vec<u32>,
+    scans: HashMap<u64, ScanId>,
+    jobs: HashMap<u32, ScanId>,
+    relays: HashMap<(u64, u16), Ticket>,
+    tickets: HashMap<Ticket, (u64, u16)>,
+    searchers: HashMap<u32, Searcher>,
+    wire_ids: Vec<u32>,
+}
+
+impl Books {
+    fn open(&mut self, corr: u64, job: u32) -> ScanId {
+        let slot = self.free.pop().unwrap_or(self.slots.len() as u32);
+        if slot as usize == self.slots.len() {
+            self.slots.push(Slot::default());
+        }
+        let held = &mut self.slots[slot as usize];
+        let turn = held.turn.wrapping_add(1);
+        *held = Slot { turn, open: true, corr, job, parts: Vec::new() };
+        let id = ScanId { slot, turn };
+        self.scans.insert(corr, id);
+        self.jobs.insert(job, id);
+        id
+    }
+
+    fn close(&mut self, id: ScanId) {
+        let held = &mut self.slots[id.slot as usize];
+        if held.open && held.turn == id.turn {
+            held.open = false;
+            self.scans.remove(&held.corr);
+            self.jobs.remove(&held.job);
+            self.free.push(id.slot);
+        }
+    }
+
+    fn corr(&self, id: ScanId) -> [u8; 8] {
+        self.slots[id.slot as usize].corr.to_be_bytes()
+    }
+
+    fn searcher(&mut self, wire_id: u32) -> Searcher {
+        let Books { searchers, wire_ids, .. } = self;
+        *searchers.entry(wire_id).or_insert_with(|| {
+            wire_ids.push(wire_id);
+            Searcher(wire_ids.len() as u32 - 1)
+        })
+    }
+}
+
+impl Desk<'_> {
+    fn act(&mut self, code: u8, fields: &[&[u8]]) {
+        self.reply.action(self.books.number, code, fields);
+    }
+}
+
+fn short(span: Span) -> [u8; 4] {
+    u32::try_from(span.micros()).unwrap_or(u32::MAX).to_be_bytes()
+}
+
+impl Host for Desk<'_> {
+    fn now(&self) -> Moment {
+        self.now
+    }
+
+    fn relay(&mut self, ticket: Ticket, scan: ScanId, part: usize, to: Searcher, patience: Span) {
+        let (corr, sent) = &mut self.books.slots[scan.slot as usize].parts[part];
+        let relay = (*corr, *sent);
+        *sent += 1;
+        self.books.relays.insert(relay, ticket);
+        self.books.tickets.insert(ticket, relay);
+        let to = self.books.wire_ids[to.0 as usize];
+        self.act(16, &[&relay.0.to_be_bytes(), &to.to_be_bytes(), &short(patience)]);
+    }
+
+    fn call_off(&mut self, relay: Ticket) {
+        if let Some((corr, number)) = self.books.tickets.get(&relay).copied() {
+            self.act(19, &[&corr.to_be_bytes(), &number.to_be_bytes()]);
+        }
+    }
+
+    fn answer(&mut self, scan: ScanId, whole: bool, last: bool) {
+        self.act(28, &[&self.books.corr(scan), &[u8::from(whole)]]);
+        if last {
+            self.books.close(scan);
+        }
+    }
+
+    fn bounce(&mut self, scan: ScanId, pause: Span) {
+        self.act(17, &[&self.books.corr(scan), &short(pause)]);
+        self.books.close(scan);
+    }
+
+    fn write_off(&mut self, scan: ScanId) {
+        self.act(18, &[&self.books.corr(scan)]);
+        self.books.close(scan);
+    }
+
+    fn wake(&mut self, ticket: Ticket, at: Moment) {
+        self.act(20, &[&at.micros().to_be_bytes(), &ticket.0.to_be_bytes()]);
+    }
+
+    fn check(&mut self, searcher: Searcher) {
+        let wire_id = self.books.wire_ids[searcher.0 as usize];
+        self.act(21, &[&wire_id.to_be_bytes()]);
+    }
+
+    fn watch_list(&mut self) {
+        self.act(26, &[&[1]]);
+    }
+}
+
+/// A scan whose parts are still being read.
+struct Arriving {
+    id: ScanId,
+    /// None for the parts of a second step.
+    scan: Option<ScanTaken>,
+    parts: Vec<PartTaken>,
+}
+
+pub struct Instance {
+    mixer: Mixer,
+    books: Books,
+    arriving: Option<Arriving>,
+}
+
+impl Instance {
+    pub fn start(number: u16, fields: &[u8], now: Moment, reply: &mut Reply) -> Result<Self, Malformed> {
+        let mut fields = Fields::new(fields, "PowerOn");
+        let seed = fields.u64()?;
+        let length = fields.u32()? as usize;
+        let readings = Readings::parse(fields.bytes(length)?)?;
+        let mixer = readings.mixer(seed)?;
+        let books = Books { number, ..Books::default() };
+        let mut instance = Self { mixer, books, arriving: None };
+        if readings.says("discovery", "on_request") {
+            instance.with(now, reply, |mixer, host| mixer.watch(host));
+        }
+        Ok(instance)
+    }
+
+    fn with(&mut self, now: Moment, reply: &mut Reply, call: impl FnOnce(&mut Mixer, &mut Desk)) {
+        call(&mut self.mixer, &mut Desk { books: &mut self.books, reply, now });
+    }
+
+    /// Hands over the scan whose parts have all been read.
+    pub fn hand_over(&mut self, now: Moment, reply: &mut Reply) {
+        let Some(Arriving { id, scan, parts }) = self.arriving.take() else { return };
+        self.with(now, reply, |mixer, host| match scan {
+            Some(scan) => mixer.taken(host, id, ScanTaken { parts, ..scan }),
+            None => mixer.more_parts(host, id, &parts),
+        });
+    }
+
+    pub fn request(&mut self, fields: &[u8], now: Moment, reply: &mut Reply) -> Result<(), Malformed> {
+        let mut fields = Fields::new(fields, "Req");
+        let corr = fields.u64()?;
+        let (class, team, _key) = (fields.u16()?, fields.u16()?, fields.u64()?);
+        let (left, hint) = (fields.u32()?, fields.u32()?);
+        let (job, shard, weight) = (fields.u32()?, fields.f32()?, fields.f32()?);
+        let options = fields.u16()?;
+        let work = (options & 1 != 0).then(|| Span::of_micros(hint.into()));
+        if shard < 0.0 {
+            self.hand_over(now, reply);
+            let scan = ScanTaken {
+                traffic_type: class.into(),
+                customer: team.into(),
+                left: Span::of_micros(left.into()),
+                work,
+                repeat: options & 2 != 0,
+                parts: Vec::new(),
+            };
+            let id = self.books.open(corr, job);
+            self.arriving = Some(Arriving { id, scan: Some(scan), parts: Vec::new() });
+            return Ok(());
+        }
+        let Some(id) = self.books.jobs.get(&job).copied() else { return Ok(()) };
+        if self.arriving.as_ref().is_none_or(|a| a.id != id) {
+            self.hand_over(now, reply);
+            self.arriving = Some(Arriving { id, scan: None, parts: Vec::new() });
+        }
+        let part = PartTaken { shard: shard as u32, weight: f64::from(weight), work };
+        self.arriving.iter_mut().for_each(|a| a.parts.push(part));
+        self.books.slots[id.slot as usize].parts.push((corr, 0));
+        Ok(())
+    }
+
+    pub fn listed(&mut self, how: u8, entries: Option<&Vec<Entry>>, now: Moment, reply: &mut Reply) {
+        if how == 2 {
+            return self.with(now, reply, |mixer, host| mixer.list_failed(host));
+        }
+        let entries = entries.map_or(&[][..], Vec::as_slice);
+        let listing = |entry: &Entry| Listing {
+            searcher: self.books.searcher(entry.wire_id),
+            cell: entry.cell.into(),
+            zone: entry.zone.into(),
+            ready: entry.status == 0,
+            started: (entry.started != 0).then(|| Moment::at_micros(entry.started)),
+        };
+        let listings: Vec<Listing> = entries.iter().map(listing).collect();
+        self.with(now, reply, |mixer, host| mixer.listed(host, how != 0, &listings));
+    }
+
+    pub fn result(&mut self, fields: &[u8], now: Moment, reply: &mut Reply) -> Result<(), Malformed> {
+        let mut fields = Fields::new(fields, "Result");
+        let (corr, number, _searcher) = (fields.u64()?, fields.u16()?, fields.u32()?);
+        let how = match fields.u8()? {
+            0 => Landing::Honoured,
+            5 => Landing::Erred,
+            11 => Landing::TurnedAway,
+            104 => Landing::Dropped,
+            110 => Landing::Silent,
+            111 => Landing::Unreached,
+            114 => Landing::Unsent,
+            125 => Landing::CalledOff,
+            other => return Err(Malformed(format!("Result: unknown disposition {other}"))),
+        };
+        let took = Span::of_micros(fields.u32()?.into());
+        if let Some(ticket) = self.books.relays.remove(&(corr, number)) {
+            self.books.tickets.remove(&ticket);
+            self.with(now, reply, |mixer, host| mixer.landed(host, ticket, how, took));
+        }
+        Ok(())
+    }
+
+    pub fn expired(&mut self, fields: &[u8], now: Moment, reply: &mut Reply) -> Result<(), Malformed> {
+        let corr = Fields::new(fields, "Expired").u64()?;
+        if let Some(id) = self.books.scans.get(&corr).copied() {
+            self.with(now, reply, |mixer, host| mixer.client_left(host, id));
+            self.books.close(id);
+        }
+        Ok(())
+    }
+
+    pub fn ring(&mut self, fields: &[u8], now: Moment, reply: &mut Reply) -> Result<(), Malformed> {
+        let ticket = Ticket(Fields::new(fields, "Ring").u32()?);
+        self.with(now, reply, |mixer, host| mixer.woken(host, ticket));
+        Ok(())
+    }
+
+    pub fn ping(&mut self, fields: &[u8], now: Moment, reply: &mut Reply) -> Result<(), Malformed> {
+        let mut fields = Fields::new(fields, "PingResult");
+        let (there, wire_id) = (fields.u8()? == 0, fields.u32()?);
+        if let Some(searcher) = self.books.searchers.get(&wire_id).copied() {
+            self.with(now, reply, |mixer, host| mixer.checked(host, searcher, there));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/simhost/src/main.rs
@@ -0,0 +1,20 @@
+//! Speaks the bench's wire on standard input and output; every decision is in `fernglade::choice`.
+
+mod instance;
+mod process;
+mod readings;
+mod wire;
+
+use std::io::{self, BufReader, BufWriter};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let (input, output) = (BufReader::new(io::stdin().lock()), BufWriter::new(io::stdout().lock()));
+    match process::serve(input, output) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("fernglade-simhost: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/simhost/src/wire.rs
@@ -0,0 +1,149 @@
+//! The frames of the bench's wire: big-endian, no padding, records with their lengths.
+
+use std::fmt;
+use std::io::{self, Read};
+
+/// What is wrong with the input, and where.
+#[derive(Debug, PartialEq)]
+pub struct Malformed(pub String);
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl From<io::Error> for Malformed {
+    fn from(error: io::Error) -> Self {
+        Malformed(format!("the stream failed: {error}"))
+    }
+}
+
+/// Reads fields one after another from a record or an entry.
+pub struct Fields<'a> {
+    rest: &'a [u8],
+    what: &'static str,
+}
+
+impl<'a> Fields<'a> {
+    pub fn new(rest: &'a [u8], what: &'static str) -> Self {
+        Self { rest, what }
+    }
+
+    pub fn bytes(&mut self, count: usize) -> Result<&'a [u8], Malformed> {
+        if count > self.rest.len() {
+            let (what, left) = (self.what, self.rest.len());
+            return Err(Malformed(format!("{what}: a field of {count} bytes where {left} are left")));
+        }
+        let (field, rest) = self.rest.split_at(count);
+        self.rest = rest;
+        Ok(field)
+    }
+
+    fn fixed<const N: usize>(&mut self) -> Result<[u8; N], Malformed> {
+        let mut field = [0; N];
+        field.copy_from_slice(self.bytes(N)?);
+        Ok(field)
+    }
+
+    pub fn u8(&mut self) -> Result<u8, Malformed> {
+        Ok(self.fixed::<1>()?[0])
+    }
+
+    pub fn u16(&mut self) -> Result<u16, Malformed> {
+        Ok(u16::from_be_bytes(self.fixed()?))
+    }
+
+    pub fn u32(&mut self) -> Result<u32, Malformed> {
+        Ok(u32::from_be_bytes(self.fixed()?))
+    }
+
+    pub fn u64(&mut self) -> Result<u64, Malformed> {
+        Ok(u64::from_be_bytes(self.fixed()?))
+    }
+
+    pub fn f32(&mut self) -> Result<f32, Malformed> {
+        Ok(f32::from_be_bytes(self.fixed()?))
+    }
+}
+
+/// One batch of events.
+pub struct Batch {
+    pub clock: u64,
+    pub body: Vec<u8>,
+    pub records: u32,
+}
+
+impl Batch {
+    /// The next batch, or none at the end of the input. Memory is taken as bytes come, not as announced.
+    pub fn read(input: &mut impl Read) -> Result<Option<Batch>, Malformed> {
+        let mut header = Vec::with_capacity(16);
+        input.by_ref().take(16).read_to_end(&mut header)?;
+        if header.is_empty() {
+            return Ok(None);
+        }
+        let mut fields = Fields::new(&header, "batch header");
+        let (clock, length, records) = (fields.u64()?, fields.u32()?, fields.u32()?);
+        let mut body = Vec::new();
+        input.by_ref().take(u64::from(length)).read_to_end(&mut body)?;
+        if body.len() < length as usize {
+            let got = body.len();
+            return Err(Malformed(format!("batch at {clock}: {length} bytes announced, {got} came")));
+        }
+        Ok(Some(Batch { clock, body, records }))
+    }
+
+    /// Every record's code and fields, in order.
+    pub fn each(&self, mut on: impl FnMut(u8, &[u8]) -> Result<(), Malformed>) -> Result<(), Malformed> {
+        let clock = self.clock;
+        let mut rest = Fields::new(&self.body, "batch");
+        for number in 0..self.records {
+            let within = |Malformed(text)| Malformed(format!("batch at {clock}, record {number}: {text}"));
+            let code = rest.u8().map_err(within)?;
+            let length = rest.u32().map_err(within)?;
+            let fields = rest.bytes(length as usize).map_err(within)?;
+            on(code, fields).map_err(within)?;
+        }
+        match rest.rest.len() {
+            0 => Ok(()),
+            left => Err(Malformed(format!("batch at {clock}: {left} bytes after the last record"))),
+        }
+    }
+}
+
+/// A reply being built.
+#[derive(Default)]
+pub struct Reply {
+    records: u32,
+    body: Vec<u8>,
+    selected: Option<u16>,
+}
+
+impl Reply {
+    /// Adds an action of an instance, naming the instance where it changes.
+    pub fn action(&mut self, instance: u16, code: u8, fields: &[&[u8]]) {
+        if self.selected != Some(instance) {
+            self.selected = Some(instance);
+            self.record(29, &[&instance.to_be_bytes()]);
+        }
+        self.record(code, fields);
+    }
+
+    fn record(&mut self, code: u8, fields: &[&[u8]]) {
+        let length: usize = fields.iter().map(|f| f.len()).sum();
+        self.records += 1;
+        self.body.push(code);
+        self.body.extend_from_slice(&(length as u32).to_be_bytes());
+        fields.iter().for_each(|f| self.body.extend_from_slice(f));
+    }
+
+    /// The finished frame; the reply is empty again.
+    pub fn take(&mut self) -> Vec<u8> {
+        let mut frame = Vec::with_capacity(8 + self.body.len());
+        frame.extend_from_slice(&self.records.to_be_bytes());
+        frame.extend_from_slice(&(self.body.len() as u32).to_be_bytes());
+        frame.append(&mut self.body);
+        *self = Reply::default();
+        frame
+    }
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,879 @@
+//! Every decision of a fernglade mixer: where each part of a scan goes, when the scan is answered, and what
+//! is done when searchers fail. A front (`crates/simhost` on the bench, the real mixer later) calls the
+//! public functions of [`Mixer`] with what it hears; the module acts through `Host`, both in `src/lib.rs`.
+//!
+//! The ordinary path is the design's (docs/design.md): all parts go out at once, each to the replica with
+//! the least smoothed latency x (own parts out + 1); the scan is answered when every part has an outcome,
+//! or at its one timer. Each step leaves a closure, and the step's result is handed to it.
+//!
+//! Beside the design stand six mechanisms:
+//! 1. silence and failure read as latency (`Seat::standing`)
+//! 2. further relays: a failed part at once, an overdue one as a second copy (`Mixer::relay_again`)
+//! 3. the relay budget, stated or our own (`RelayBudget`)
+//! 4. a fresh searcher's cap, which grows with its answers (`ColdCare`)
+//! 5. a limit on parts in flight, least credit turned away first (`Door`)
+//! 6. an early end for a scan that can no longer be answered (`Mixer::settle`)
+
+use crate::{Host, Landing, Listing, Moment, PartTaken, ScanId, ScanTaken, Searcher, Span, Ticket};
+use std::collections::{BTreeMap, VecDeque};
+
+/// How a relay ended, for whoever waits for it.
+#[derive(Clone, Copy)]
+struct Landed {
+    relay: Ticket,
+    how: Landing,
+    took: Span,
+}
+
+impl Landed {
+    fn never_ran(&self) -> bool {
+        matches!(self.how, Landing::TurnedAway | Landing::Unreached | Landing::Unsent)
+    }
+}
+
+/// What to do with a result, left behind by the step that asked for it.
+type Then<R> = Box<dyn FnOnce(&mut Mixer, &mut dyn Host, R)>;
+
+/// Closures waiting for their results. Emptied as the results come; each relay and timer has just one.
+struct Pending<R> {
+    left: Vec<Option<Then<R>>>,
+    free: Vec<u32>,
+}
+
+impl<R> Pending<R> {
+    fn new() -> Self {
+        Self { left: Vec::new(), free: Vec::new() }
+    }
+
+    fn leave(&mut self, then: impl FnOnce(&mut Mixer, &mut dyn Host, R) + 'static) -> Ticket {
+        let at = self.free.pop().unwrap_or(self.left.len() as u32);
+        if at as usize == self.left.len() {
+            self.left.push(None);
+        }
+        self.left[at as usize] = Some(Box::new(then));
+        Ticket(at)
+    }
+
+    fn take(&mut self, ticket: Ticket) -> Option<Then<R>> {
+        let then = self.left.get_mut(ticket.0 as usize)?.take()?;
+        self.free.push(ticket.0);
+        Some(then)
+    }
+}
+
+/// A permuted congruential generator (PCG-XSH-RR 64/32), for ties alone.
+struct Chance(u64);
+
+impl Chance {
+    fn below(&mut self, n: usize) -> usize {
+        let old = self.0;
+        self.0 = old.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        let mixed = ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32);
+        (u64::from(mixed) * n as u64 >> 32) as usize
+    }
+}
+
+/// What may happen to a part that is sent twice.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    Redoable,
+    /// A repeat is known by its label for so long after the first relay that may have run.
+    Labelled(Span),
+    Irreversible,
+}
+
+/// One sort of scan, as the deployment states it.
+#[derive(Clone, Debug)]
+pub struct TrafficType {
+    pub quoted: Span,
+    /// The quoted time grows by this many times the scan's own work.
+    pub stretch: f64,
+    pub abandon: Span,
+    pub credit: f64,
+    pub late_credit: f64,
+    pub effect: Effect,
+    /// The least share of the parts' weight that may be answered from.
+    pub floor: f64,
+    /// The share that makes an answer whole.
+    pub whole_from: f64,
+    pub second_step: bool,
+}
+
+/// Rule 6: relays beyond each part's first, in any window, number at most a few and a share of what was
+/// taken in it. Where no budget is stated our own stands, so that trouble never doubles the load.
+pub struct RelayBudget {
+    few: f64,
+    share: f64,
+    window: Span,
+    /// Scans and parts taken, and further relays made; both emptied as they leave the window.
+    taken: VecDeque<(Moment, usize)>,
+    taken_sum: usize,
+    further: VecDeque<Moment>,
+}
+
+impl RelayBudget {
+    pub fn stated(few: f64, share: f64, window: Span) -> Self {
+        let (taken, further) = (VecDeque::new(), VecDeque::new());
+        Self { few, share, window, taken, taken_sum: 0, further }
+    }
+
+    /// A fifth of the parts covers the loss of one searcher in five; ten seconds outlast a pause.
+    pub fn unstated() -> Self {
+        Self::stated(10.0, 0.2, Span::of_millis(10_000))
+    }
+
+    fn note_taken(&mut self, now: Moment, count: usize) {
+        self.taken.push_back((now, count));
+        self.taken_sum += count;
+        self.forget(now);
+    }
+
+    /// Strictly inside the window for what was taken, and a little past it for what was relayed.
+    fn forget(&mut self, now: Moment) {
+        while self.taken.front().is_some_and(|&(at, _)| now.since(at) >= self.window) {
+            self.taken_sum -= self.taken.pop_front().map_or(0, |(_, count)| count);
+        }
+        while self.further.front().is_some_and(|&at| now.since(at) > self.window) {
+            self.further.pop_front();
+        }
+    }
+
+    fn spend(&mut self, now: Moment) -> bool {
+        self.forget(now);
+        let allowed = self.few + self.share * self.taken_sum as f64;
+        let room = (self.further.len() + 1) as f64 <= allowed;
+        if room {
+            self.further.push_back(now);
+        }
+        room
+    }
+}
+
+/// Rule 4: how much a searcher that has just started may be sent, by all mixers together.
+pub struct ColdCare {
+    fleet: f64,
+    from: f64,
+    cold: Span,
+    multiple: f64,
+    fall: Span,
+}
+
+impl ColdCare {
+    pub fn new(fleet: usize, from: f64, cold: Span, multiple: f64, fall: Span) -> Self {
+        Self { fleet: fleet.max(1) as f64, from, cold, multiple, fall }
+    }
+
+    /// Guards against toppling a searcher that has just started, or that came back from any failure to
+    /// connect. Hurts when a searcher was only out of reach: it is then spared for a while. Its cap in flight
+    /// starts at one and grows by one with each answer, and what it is sent in a window stays within this
+    /// mixer's share of the rule's figure. Its true size is never told: one core is the least there is.
+    fn has_room(&self, fresh: &Fresh, out: usize, work: Span, now: Moment) -> bool {
+        let age = now.since(fresh.since).less(self.fall).as_f64() / self.cold.as_f64().max(1.0);
+        let grown = self.from + (1.0 - self.from) * age.min(1.0);
+        let allowed = self.multiple * grown * self.fall.as_f64() / self.fleet;
+        let recent = fresh.sent.iter().filter(|(at, _)| now.since(*at) <= self.fall);
+        let sum: f64 = recent.map(|(_, work)| work.as_f64()).sum();
+        out <= fresh.answers && sum + work.as_f64() <= allowed.max(work.as_f64())
+    }
+}
+
+/// A searcher's first while after a start.
+struct Fresh {
+    since: Moment,
+    answers: usize,
+    /// Work sent within the rule's window; emptied as it leaves the window, dropped once warm.
+    sent: VecDeque<(Moment, Span)>,
+}
+
+/// One searcher as this mixer knows it.
+struct Seat {
+    cell: u32,
+    ready: bool,
+    started: Option<Moment>,
+    fresh: Option<Fresh>,
+    latency: Option<f64>,
+    /// Relays out, with the time they left; emptied as they land.
+    out: Vec<(Ticket, Moment)>,
+    heard: Moment,
+    /// Since when it has owed an answer and given none.
+    owing_since: Option<Moment>,
+    down: bool,
+    checking: bool,
+    check_due: bool,
+    next_check: Option<Moment>,
+}
+
+impl Seat {
+    fn calls_out(&self, per_call: usize) -> usize {
+        if per_call <= 1 {
+            return self.out.len();
+        }
+        self.out.chunk_by(|a, b| a.1 == b.1).map(|call| call.len().div_ceil(per_call)).sum()
+    }
+
+    /// The latency to choose by. Ordinarily the smoothed one. A searcher that owes an answer for longer than
+    /// `overdue` counts as slow as its silence is long: against hangs, long pauses, lost networks. What is
+    /// long unheard drifts to the average, as the unheard are, so it is tried again; halved over the design's
+    /// check interval. Hurts when a sound searcher was given only very heavy parts.
+    fn standing(&self, now: Moment, average: f64, overdue: f64) -> f64 {
+        let until = if self.out.is_empty() { self.heard } else { now };
+        let silence = self.owing_since.map_or(0.0, |since| until.since(since).as_f64());
+        let known = self.latency.unwrap_or(average);
+        let known = if silence > overdue { known.max(silence) } else { known };
+        let unheard = now.since(until).as_f64() / CHECK_EVERY.as_f64();
+        average + (known - average) * (-unheard).exp2()
+    }
+
+    /// Smooths a latency in. A quarter: four or so answers tell a new state, one odd part does not.
+    fn learn(&mut self, now: Moment, sample: f64) {
+        self.heard = now;
+        self.latency = Some(self.latency.map_or(sample, |old| old + 0.25 * (sample - old)));
+    }
+}
+
+/// How often a searcher that is down is checked: the design page's figure.
+const CHECK_EVERY: Span = Span::of_millis(5_000);
+
+/// Where a part may go now.
+enum Place {
+    At(Searcher),
+    /// Only fresh searchers hold it, and they have all they may have for the moment.
+    Later,
+    Nowhere,
+}
+
+/// The searchers and what this mixer has seen of them. Grows with searchers ever listed, not with scans.
+pub struct Roster {
+    seats: Vec<Seat>,
+    cells: u32,
+    width: u32,
+    per_call: usize,
+    may_check: bool,
+    cold: ColdCare,
+    chance: Chance,
+    /// Smoothed time and spread of answered parts, over all searchers.
+    typical: f64,
+    spread: f64,
+}
+
+impl Roster {
+    pub fn new(seed: u64, cells: u32, width: u32, per_call: usize, may_check: bool, cold: ColdCare) -> Self {
+        let (cells, chance) = (cells.max(1), Chance(seed));
+        Self { seats: vec![], cells, width, per_call, may_check, cold, chance, typical: 0.0, spread: 0.0 }
+    }
+
+    fn seat(&mut self, searcher: Searcher) -> &mut Seat {
+        &mut self.seats[searcher.0 as usize]
+    }
+
+    fn average(&self) -> f64 {
+        let known = self.seats.iter().filter(|s| s.ready && !s.down).filter_map(|s| s.latency);
+        let (sum, count) = known.fold((0.0, 0), |(sum, count), l| (sum + l, count + 1));
+        if count == 0 {
+            self.typical
+        } else {
+            sum / f64::from(count)
+        }
+    }
+
+    /// When a part has been out for longer than parts mostly are: four spreads, as in TCP's timer.
+    fn overdue(&self) -> f64 {
+        self.typical + 4.0 * self.spread
+    }
+
+    fn note_time(&mut self, sample: f64) {
+        // A twentieth: the last twenty parts or so, some seconds of one mixer's scans.
+        self.spread += 0.05 * ((sample - self.typical).abs() - self.spread);
+        self.typical += 0.05 * (sample - self.typical);
+    }
+
+    /// The design's choice: least latency x (own parts out + 1), among replicas that are listed ready, not
+    /// down, and not in `tried`. A down one gets a part only as the check it is due, or where nobody else is.
+    fn place(&mut self, now: Moment, shard: u32, tried: &[Searcher]) -> Place {
+        let (average, overdue) = (self.average(), self.overdue());
+        let work = Span::of_micros(average as u64);
+        let count = self.seats.len();
+        let first = self.chance.below(count.max(1));
+        let (mut best, mut full, mut last_hope) = (None::<(f64, Searcher)>, false, None);
+        for at in (0..count).map(|i| (first + i) % count) {
+            let seat = &self.seats[at];
+            let searcher = Searcher(at as u32);
+            let step = (seat.cell + self.cells - shard % self.cells) % self.cells;
+            if !seat.ready || step >= self.width || tried.contains(&searcher) {
+                continue;
+            }
+            let room = |f: &Fresh| self.cold.has_room(f, seat.out.len(), work, now);
+            if seat.down {
+                if seat.check_due && !seat.checking {
+                    return Place::At(searcher);
+                }
+                last_hope = last_hope.or((!seat.checking).then_some(searcher));
+            } else if !seat.fresh.as_ref().is_none_or(room) {
+                full = true;
+            } else {
+                let out = seat.calls_out(self.per_call) as f64;
+                let score = seat.standing(now, average, overdue) * (out + 1.0);
+                if best.is_none_or(|(least, _)| score < least) {
+                    best = Some((score, searcher));
+                }
+            }
+        }
+        match (best, full, last_hope) {
+            (Some((_, searcher)), _, _) => Place::At(searcher),
+            (None, true, _) => Place::Later,
+            (None, false, Some(searcher)) => Place::At(searcher),
+            _ => Place::Nowhere,
+        }
+    }
+
+    fn note_sent(&mut self, now: Moment, searcher: Searcher, ticket: Ticket) {
+        let work = Span::of_micros(self.average() as u64);
+        let (cold, fall) = (self.cold.cold, self.cold.fall);
+        let seat = self.seat(searcher);
+        seat.out.push((ticket, now));
+        seat.owing_since = seat.owing_since.or(Some(now));
+        seat.checking |= seat.down;
+        if seat.fresh.as_ref().is_some_and(|f| now.since(f.since) > cold + fall) {
+            seat.fresh = None;
+        }
+        if let Some(fresh) = &mut seat.fresh {
+            fresh.sent.retain(|(at, _)| now.since(*at) <= fall);
+            fresh.sent.push_back((now, work));
+        }
+    }
+
+    /// What a relay's end tells of its searcher. Failures read as the quoted time, so that one that fails
+    /// fast draws no parts by it: against errors, drops, full rooms. Hurts a searcher met by rare bad luck
+    /// for a few parts.
+    fn note_landed(&mut self, now: Moment, from: Searcher, landed: &Landed, quoted: Span) {
+        let Landed { relay, how, took } = *landed;
+        let average = self.average();
+        let seat = self.seat(from);
+        seat.out.retain(|(ticket, _)| *ticket != relay);
+        let owes = (!seat.out.is_empty()).then_some(now);
+        match how {
+            Landing::Unsent => {
+                if seat.out.is_empty() {
+                    seat.owing_since = None;
+                }
+            }
+            Landing::Unreached => seat.owing_since = owes,
+            Landing::Silent | Landing::CalledOff => {
+                let known = seat.latency.unwrap_or(average);
+                if took.as_f64() > known {
+                    seat.learn(now, took.as_f64());
+                }
+                seat.heard = now;
+            }
+            Landing::Honoured => {
+                seat.owing_since = owes;
+                seat.learn(now, took.as_f64());
+                if let Some(fresh) = &mut seat.fresh {
+                    fresh.answers += 1;
+                }
+                self.note_time(took.as_f64());
+            }
+            Landing::Erred | Landing::TurnedAway | Landing::Dropped => {
+                seat.owing_since = owes;
+                seat.learn(now, quoted.as_f64().max(took.as_f64()));
+            }
+        }
+    }
+
+    /// A check passed: the searcher is taken for one that has just started, as a dead one will have.
+    fn note_up(&mut self, now: Moment, searcher: Searcher) {
+        let seat = self.seat(searcher);
+        if std::mem::take(&mut seat.down) {
+            let since = seat.started.map_or(now, |at| if now.since(at) < CHECK_EVERY { at } else { now });
+            seat.fresh = Some(Fresh { since, answers: 0, sent: VecDeque::new() });
+            (seat.latency, seat.owing_since) = (None, None);
+        }
+        (seat.checking, seat.check_due) = (false, false);
+    }
+}
+
+/// Which scans are taken. A limit on parts in flight follows the ratio of the shortest answer time to the
+/// present one; the nearer to it, the more credit a scan must bring.
+pub struct Door {
+    limit: f64,
+    shortest: f64,
+    present: f64,
+    over_share_credit: f64,
+    by_work: bool,
+    best: f64,
+    /// Each customer's scans a second at this mixer, and how far it is ahead of them; one line a customer.
+    customers: Vec<(f64, f64, Moment)>,
+    longest_pause: Span,
+}
+
+impl Door {
+    pub fn new(
+        fleet: usize,
+        shares: &[f64],
+        over_share_credit: f64,
+        by_work: bool,
+        longest_pause: Span,
+    ) -> Self {
+        let customers = shares.iter().map(|s| (s / fleet.max(1) as f64, 0.0, Moment::default())).collect();
+        let (limit, shortest, present) = (100.0, 0.0, 0.0);
+        Self { limit, shortest, present, over_share_credit, by_work, best: 0.0, customers, longest_pause }
+    }
+
+    fn over_share(&mut self, now: Moment, customer: usize) -> bool {
+        let Some((rate, ahead, at)) = self.customers.get_mut(customer) else { return false };
+        *ahead = (*ahead - *rate * now.since(*at).as_f64() / 1e6).max(0.0) + 1.0;
+        *at = now;
+        // Three seconds' worth: bursts even out over that, true excess does not.
+        *ahead > 3.0 * *rate + 1.0
+    }
+
+    /// A scan's credit for its work, against the best met: per part where credit does not grow with work.
+    fn worth(&mut self, credit: f64, parts: usize) -> f64 {
+        let worth = if self.by_work { credit } else { credit / parts.max(1) as f64 };
+        self.best = self.best.max(worth);
+        worth / self.best.max(f64::MIN_POSITIVE)
+    }
+
+    /// A scan of the best credit may fill the limit, one of none half of it.
+    fn admits(&self, out: usize, parts: usize, worth: f64) -> bool {
+        out == 0 || (out + parts) as f64 <= self.limit * (0.5 + 0.5 * worth.min(1.0))
+    }
+
+    fn note_answer(&mut self, took: Span, out: usize) {
+        let sample = took.as_f64();
+        if self.present == 0.0 {
+            (self.shortest, self.present) = (sample, sample);
+        }
+        self.present += 0.05 * (sample - self.present);
+        self.shortest = (self.shortest * 1.0005).min(self.present);
+        // Three times the shortest is a queue of two parts before each core: well within any quoted time.
+        let ratio = (3.0 * self.shortest / self.present).clamp(0.5, 1.0);
+        if ratio < 1.0 || out as f64 > self.limit / 2.0 {
+            let aimed = self.limit * ratio + self.limit.sqrt();
+            self.limit = (self.limit + 0.05 * (aimed - self.limit)).max(4.0);
+        }
+    }
+
+    fn pause(&self) -> Span {
+        self.longest_pause
+    }
+}
+
+/// One part of an open scan.
+struct Part {
+    shard: u32,
+    weight: f64,
+    relays: usize,
+    tried: Vec<Searcher>,
+    out: Vec<Ticket>,
+    /// When relays left that are out or may have run.
+    may_have_run: Vec<Moment>,
+    honoured: bool,
+    lost: bool,
+}
+
+/// An open scan.
+struct Scan {
+    traffic_type: usize,
+    /// When the one timer ends the wait.
+    ends: Moment,
+    parts: Vec<Part>,
+    /// Where the present step's parts begin.
+    first: usize,
+    /// At a second step: whether the first was whole.
+    first_whole: Option<bool>,
+}
+
+impl Part {
+    fn new(taken: &PartTaken) -> Self {
+        let PartTaken { shard, weight, .. } = *taken;
+        let (tried, out, may_have_run) = (Vec::new(), Vec::new(), Vec::new());
+        Self { shard, weight, relays: 0, tried, out, may_have_run, honoured: false, lost: false }
+    }
+}
+
+impl Scan {
+    fn step(&self) -> &[Part] {
+        &self.parts[self.first..]
+    }
+
+    fn weight(&self, of: impl Fn(&Part) -> bool) -> f64 {
+        self.step().iter().filter(|p| of(p)).map(|p| p.weight).sum()
+    }
+}
+
+pub struct Mixer {
+    types: Vec<TrafficType>,
+    roster: Roster,
+    budget: RelayBudget,
+    door: Door,
+    /// Relays that one part may have.
+    relay_cap: usize,
+    may_copy: bool,
+    may_call_off: bool,
+    lead: Span,
+    /// Open scans; each leaves with its final answer.
+    scans: BTreeMap<ScanId, Scan>,
+    landings: Pending<Landed>,
+    wakes: Pending<()>,
+    parts_out: usize,
+}
+
+impl Mixer {
+    pub fn new(types: Vec<TrafficType>, roster: Roster, budget: RelayBudget, door: Door, tick: Span) -> Self {
+        let least = types.iter().map(|t| t.quoted).min().unwrap_or(Span::ZERO);
+        let mut mixer = Self {
+            types,
+            roster,
+            budget,
+            door,
+            relay_cap: 1,
+            may_copy: false,
+            may_call_off: false,
+            // Three ticks: one for the timer to be late, one for the answer, one for the network.
+            lead: tick * 3.0,
+            scans: BTreeMap::new(),
+            landings: Pending::new(),
+            wakes: Pending::new(),
+            parts_out: 0,
+        };
+        // The design's start: a tenth of the quoted time.
+        (mixer.roster.typical, mixer.roster.spread) = (least.as_f64() / 10.0, least.as_f64() / 20.0);
+        mixer
+    }
+
+    /// What the deployment allows a part: so many relays, two at a time, calling one off.
+    pub fn allowing(mut self, relay_cap: usize, may_copy: bool, may_call_off: bool) -> Self {
+        (self.relay_cap, self.may_copy, self.may_call_off) = (relay_cap.max(1), may_copy, may_call_off);
+        self
+    }
+
+    /// Keeps the list watched where it has to be asked for.
+    pub fn watch(&mut self, host: &mut dyn Host) {
+        host.watch_list();
+    }
+
+    /// The watch broke or could not be had: ask again, after a pause that lets a busy list recover.
+    pub fn list_failed(&mut self, host: &mut dyn Host) {
+        let ticket = self.wakes.leave(|_, host, ()| host.watch_list());
+        let pause = Span::of_millis(500 + self.roster.chance.below(500) as u64);
+        host.wake(ticket, host.now() + pause);
+    }
+
+    /// News of searchers; with `whole` it is the full list, and who is not in it is gone.
+    pub fn listed(&mut self, host: &mut dyn Host, whole: bool, listings: &[Listing]) {
+        let now = host.now();
+        if whole {
+            self.roster.seats.iter_mut().for_each(|seat| seat.ready = false);
+        }
+        for listing in listings {
+            while self.roster.seats.len() <= listing.searcher.0 as usize {
+                self.roster.seats.push(Seat {
+                    cell: listing.cell,
+                    ready: false,
+                    started: None,
+                    fresh: None,
+                    latency: None,
+                    out: Vec::new(),
+                    heard: now,
+                    owing_since: None,
+                    down: false,
+                    checking: false,
+                    check_due: false,
+                    next_check: None,
+                });
+            }
+            let cold = self.roster.cold.cold;
+            let seat = self.roster.seat(listing.searcher);
+            (seat.cell, seat.ready) = (listing.cell, listing.ready);
+            if let Some(started) = listing.started.filter(|at| seat.started != Some(*at)) {
+                seat.started = Some(started);
+                if now.since(started) < cold {
+                    let since = seat.fresh.as_ref().map_or(started, |f| f.since.max(started));
+                    let sent = seat.fresh.take().map_or(VecDeque::new(), |f| f.sent);
+                    seat.fresh = Some(Fresh { since, answers: 0, sent });
+                    (seat.latency, seat.owing_since) = (None, None);
+                    if seat.down {
+                        self.check(host, listing.searcher);
+                    }
+                }
+            }
+        }
+    }
+
+    /// A scan comes in, with its parts.
+    pub fn taken(&mut self, host: &mut dyn Host, id: ScanId, scan: ScanTaken) {
+        let now = host.now();
+        self.budget.note_taken(now, 1 + scan.parts.len());
+        let over = self.door.over_share(now, scan.customer);
+        let Some(kind) = self.types.get(scan.traffic_type) else { return host.write_off(id) };
+        let credit = if over { kind.credit * self.door.over_share_credit } else { kind.credit };
+        let worth = self.door.worth(credit, scan.parts.len());
+        let quoted = kind.quoted + scan.work.unwrap_or(Span::ZERO) * kind.stretch;
+        let patience = quoted.min(scan.left).less(self.lead);
+        if patience == Span::ZERO || !self.door.admits(self.parts_out, scan.parts.len(), worth) {
+            return host.bounce(id, self.door.pause());
+        }
+        let wait = if kind.second_step { patience * 0.5 } else { patience };
+        let parts = scan.parts.iter().map(Part::new).collect();
+        let open = Scan {
+            traffic_type: scan.traffic_type,
+            ends: now + patience,
+            parts,
+            first: 0,
+            first_whole: None,
+        };
+        self.scans.insert(id, open);
+        if kind.second_step {
+            self.timer(host, id, now + wait, false);
+        }
+        self.timer(host, id, now + patience, true);
+        self.send_out(host, id);
+    }
+
+    /// The second step's parts come in.
+    pub fn more_parts(&mut self, host: &mut dyn Host, id: ScanId, parts: &[PartTaken]) {
+        self.budget.note_taken(host.now(), parts.len());
+        let Some(scan) = self.scans.get_mut(&id) else { return };
+        scan.parts.extend(parts.iter().map(Part::new));
+        self.send_out(host, id);
+    }
+
+    /// A relay ended.
+    pub fn landed(&mut self, host: &mut dyn Host, relay: Ticket, how: Landing, took: Span) {
+        if let Some(then) = self.landings.take(relay) {
+            then(self, host, Landed { relay, how, took });
+        }
+    }
+
+    /// A time asked for has come.
+    pub fn woken(&mut self, host: &mut dyn Host, ticket: Ticket) {
+        if let Some(then) = self.wakes.take(ticket) {
+            then(self, host, ());
+        }
+    }
+
+    /// A check's result.
+    pub fn checked(&mut self, host: &mut dyn Host, searcher: Searcher, there: bool) {
+        let now = host.now();
+        if there {
+            self.roster.note_up(now, searcher);
+        } else {
+            self.check_later(host, searcher);
+        }
+    }
+
+    /// The client is gone: nothing is owed any more.
+    pub fn client_left(&mut self, host: &mut dyn Host, id: ScanId) {
+        if let Some(scan) = self.scans.remove(&id) {
+            self.call_off_all(host, &scan);
+        }
+    }
+
+    fn timer(&mut self, host: &mut dyn Host, id: ScanId, at: Moment, last: bool) {
+        let ticket = self.wakes.leave(move |mixer, host, ()| {
+            if mixer.scans.get(&id).is_some_and(|s| last || s.first_whole.is_none()) {
+                mixer.close(host, id);
+            }
+        });
+        host.wake(ticket, at);
+    }
+
+    fn send_out(&mut self, host: &mut dyn Host, id: ScanId) {
+        let Some(scan) = self.scans.get(&id) else { return };
+        for part in scan.first..scan.parts.len() {
+            self.relay_first(host, id, part);
+        }
+        self.settle(host, id);
+    }
+
+    /// A part's first relay. Where only fresh searchers hold the shard and all are at their cap, it waits
+    /// for a quarter of a usual answer's time and asks again.
+    fn relay_first(&mut self, host: &mut dyn Host, id: ScanId, part: usize) {
+        let Some(scan) = self.scans.get_mut(&id) else { return };
+        match self.roster.place(host.now(), scan.parts[part].shard, &[]) {
+            Place::At(searcher) => self.relay(host, id, part, searcher),
+            Place::Nowhere => scan.parts[part].lost = true,
+            Place::Later => {
+                let ticket = self.wakes.leave(move |mixer, host, ()| {
+                    mixer.relay_first(host, id, part);
+                    mixer.settle(host, id);
+                });
+                host.wake(ticket, host.now() + Span::of_micros(self.roster.typical as u64) * 0.25);
+            }
+        }
+    }
+
+    fn relay(&mut self, host: &mut dyn Host, id: ScanId, part: usize, to: Searcher) {
+        let now = host.now();
+        let Some(scan) = self.scans.get_mut(&id) else { return };
+        let quoted = self.types[scan.traffic_type].quoted;
+        let relay = self.landings.leave(move |mixer, host, landed| {
+            mixer.roster.note_landed(host.now(), to, &landed, quoted);
+            mixer.reached_or_not(host, to, landed.how);
+            mixer.relay_landed(host, id, part, now, landed);
+        });
+        self.parts_out += 1;
+        self.roster.note_sent(now, to, relay);
+        let sent = &mut scan.parts[part];
+        sent.relays += 1;
+        sent.tried.push(to);
+        sent.out.push(relay);
+        sent.may_have_run.push(now);
+        host.relay(relay, id, part, to, scan.ends.since(now));
+        self.look_after(host, id, part, relay);
+    }
+
+    /// Looks at a relay once it is overdue, and again each time as long passes: a second copy if it may.
+    fn look_after(&mut self, host: &mut dyn Host, id: ScanId, part: usize, relay: Ticket) {
+        let wait = Span::of_micros(self.roster.overdue() as u64).max(self.lead);
+        let ticket = self.wakes.leave(move |mixer, host, ()| {
+            let Some(scan) = mixer.scans.get(&id) else { return };
+            if scan.parts[part].out == [relay] && !mixer.relay_again(host, id, part) {
+                mixer.look_after(host, id, part, relay);
+            }
+        });
+        host.wake(ticket, host.now() + wait);
+    }
+
+    fn relay_landed(&mut self, host: &mut dyn Host, id: ScanId, at: usize, sent: Moment, landed: Landed) {
+        self.parts_out -= 1;
+        if landed.how == Landing::Honoured {
+            self.door.note_answer(landed.took, self.parts_out);
+        }
+        let Some(scan) = self.scans.get_mut(&id) else { return };
+        let part = &mut scan.parts[at];
+        part.out.retain(|relay| *relay != landed.relay);
+        if landed.never_ran() {
+            let left = part.may_have_run.iter().position(|moment| *moment == sent);
+            left.map(|i| part.may_have_run.swap_remove(i));
+        }
+        if landed.how == Landing::Honoured {
+            part.honoured = true;
+            let others = std::mem::take(&mut part.out);
+            others.iter().filter(|_| self.may_call_off).for_each(|relay| host.call_off(*relay));
+        } else if part.out.is_empty() && !part.honoured && !self.relay_again(host, id, at) {
+            self.scans.get_mut(&id).into_iter().for_each(|scan| scan.parts[at].lost = true);
+        }
+        self.settle(host, id);
+    }
+
+    /// One more relay of a part, to a replica it has not been to: at once after a failure, as a second copy
+    /// when the first is overdue. Guards against whatever loses or holds up single parts. Rules 2 and 6 bind
+    /// it. Hurts when all searchers are slow at once; then `overdue` grows with them and the budget ends it.
+    fn relay_again(&mut self, host: &mut dyn Host, id: ScanId, at: usize) -> bool {
+        let now = host.now();
+        let Some(scan) = self.scans.get(&id) else { return false };
+        let part = &scan.parts[at];
+        let harmless = match (self.types[scan.traffic_type].effect, part.may_have_run.iter().min()) {
+            (Effect::Redoable, _) | (_, None) => true,
+            (Effect::Labelled(window), Some(first)) => now.since(*first) + self.lead < window,
+            (Effect::Irreversible, Some(_)) => false,
+        };
+        let in_time = scan.ends.since(now).as_f64() > self.roster.typical / 2.0;
+        let allowed = part.relays < self.relay_cap && (part.out.is_empty() || self.may_copy);
+        if !(harmless && in_time && allowed) {
+            return false;
+        }
+        match self.roster.place(now, part.shard, &part.tried) {
+            Place::At(searcher) if self.budget.spend(now) => self.relay(host, id, at, searcher),
+            _ => return false,
+        }
+        true
+    }
+
+    /// Whether the scan can be ended: every part has an outcome, or enough are in to be whole. A scan that
+    /// can no longer reach what may be answered is ended as well, so that its client knows at once.
+    fn settle(&mut self, host: &mut dyn Host, id: ScanId) {
+        let Some(scan) = self.scans.get(&id) else { return };
+        if scan.step().is_empty() {
+            return;
+        }
+        let kind = &self.types[scan.traffic_type];
+        let honoured = scan.weight(|p| p.honoured);
+        let hope = scan.weight(|p| !p.lost);
+        let all = scan.step().iter().all(|p| p.honoured || p.lost);
+        let whole_from = if scan.first_whole.is_some() { 1.0 } else { kind.whole_from };
+        if all || honoured + SLACK >= whole_from || hope + SLACK < kind.floor {
+            self.close(host, id);
+        }
+    }
+
+    /// The final answer, or the first of two, from what is in.
+    fn close(&mut self, host: &mut dyn Host, id: ScanId) {
+        let Some(mut scan) = self.scans.remove(&id) else { return };
+        self.call_off_all(host, &scan);
+        let kind = &self.types[scan.traffic_type];
+        let honoured = scan.weight(|p| p.honoured);
+        let whole_from = if scan.first_whole.is_some() { 1.0 } else { kind.whole_from };
+        let whole = honoured + SLACK >= whole_from && scan.first_whole != Some(false);
+        let floor = if kind.floor < kind.whole_from || scan.first_whole.is_none() { kind.floor } else { 1.0 };
+        let last = !kind.second_step || scan.first_whole.is_some();
+        if honoured > 0.0 && (whole || honoured + SLACK >= floor) {
+            host.answer(id, whole, last);
+            if !last {
+                scan.first = scan.parts.len();
+                scan.first_whole = Some(whole);
+                self.scans.insert(id, scan);
+            }
+        } else if kind.effect == Effect::Redoable || scan.parts.iter().all(|p| p.may_have_run.is_empty()) {
+            host.bounce(id, self.door.pause());
+        } else {
+            host.write_off(id);
+        }
+    }
+
+    fn call_off_all(&self, host: &mut dyn Host, scan: &Scan) {
+        if self.may_call_off {
+            scan.parts.iter().flat_map(|p| &p.out).for_each(|relay| host.call_off(*relay));
+        }
+    }
+
+    /// The design's down mark: a connection failure sets it, a check that passes lifts it.
+    fn reached_or_not(&mut self, host: &mut dyn Host, searcher: Searcher, how: Landing) {
+        let seat = self.roster.seat(searcher);
+        match how {
+            Landing::Unreached if !seat.down || seat.checking => {
+                seat.down = true;
+                self.check_later(host, searcher);
+            }
+            Landing::Honoured | Landing::Erred | Landing::TurnedAway if seat.down => {
+                self.roster.note_up(host.now(), searcher);
+            }
+            Landing::Silent | Landing::CalledOff | Landing::Dropped | Landing::Unsent if seat.checking => {
+                self.check_later(host, searcher);
+            }
+            _ => {}
+        }
+    }
+
+    fn check_later(&mut self, host: &mut dyn Host, searcher: Searcher) {
+        let at = host.now() + CHECK_EVERY;
+        let seat = self.roster.seat(searcher);
+        (seat.checking, seat.next_check) = (false, Some(at));
+        let ticket = self.wakes.leave(move |mixer, host, ()| {
+            let seat = mixer.roster.seat(searcher);
+            if !seat.down || seat.next_check != Some(at) {
+                return;
+            }
+            if seat.ready {
+                mixer.check(host, searcher);
+            } else {
+                mixer.check_later(host, searcher);
+            }
+        });
+        host.wake(ticket, at);
+    }
+
+    fn check(&mut self, host: &mut dyn Host, searcher: Searcher) {
+        let may_check = self.roster.may_check;
+        let seat = self.roster.seat(searcher);
+        (seat.checking, seat.check_due) = (may_check, !may_check);
+        if may_check {
+            host.check(searcher);
+        }
+    }
+}
+
+/// Sums of weights may fall so little short: half of what the rules allow.
+const SLACK: f64 = 0.00005;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,163 @@
+//! The interface of the mixer: ids, time, and the trait a front implements. Decisions live in [`choice`].
+
+pub mod choice;
+
+use std::ops::{Add, Mul, Sub};
+
+/// A point in time, in microseconds of whatever clock the front keeps.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Moment(u64);
+
+/// A length of time, never below nothing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(u64);
+
+impl Moment {
+    pub const fn at_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+    pub const fn micros(self) -> u64 {
+        self.0
+    }
+    /// How long before `self` that `earlier` was; nothing if it was not earlier.
+    pub const fn since(self, earlier: Moment) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Span {
+    pub const ZERO: Span = Span(0);
+    pub const fn of_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+    pub const fn of_millis(millis: u64) -> Self {
+        Self(millis * 1000)
+    }
+    pub const fn micros(self) -> u64 {
+        self.0
+    }
+    /// In microseconds, for sums with fractions.
+    pub const fn as_f64(self) -> f64 {
+        self.0 as f64
+    }
+    pub const fn less(self, other: Span) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Add<Span> for Moment {
+    type Output = Moment;
+    fn add(self, span: Span) -> Moment {
+        Moment(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Span> for Moment {
+    type Output = Moment;
+    fn sub(self, span: Span) -> Moment {
+        Moment(self.0.saturating_sub(span.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
+
+impl Mul<f64> for Span {
+    type Output = Span;
+    fn mul(self, times: f64) -> Span {
+        Span((self.0 as f64 * times).max(0.0) as u64)
+    }
+}
+
+/// A scan that is open: a slot of the front's, and how often the slot has been let.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ScanId {
+    pub slot: u32,
+    pub turn: u32,
+}
+
+/// A searcher, numbered by the front in the order in which it first heard of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Searcher(pub u32);
+
+/// Names what the module left behind to be done with a result: hand it back with that result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u32);
+
+/// How a relay ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Landing {
+    Honoured,
+    /// The searcher answered with an error; the part may have run.
+    Erred,
+    /// Turned away unseen: it never ran.
+    TurnedAway,
+    /// No connection: it never ran.
+    Unreached,
+    /// No answer in the time given; it may yet run.
+    Silent,
+    /// The connection dropped while it was out.
+    Dropped,
+    /// We called it off.
+    CalledOff,
+    /// It never left the mixer.
+    Unsent,
+}
+
+/// One line of the list of searchers.
+#[derive(Clone, Copy, Debug)]
+pub struct Listing {
+    pub searcher: Searcher,
+    pub cell: u32,
+    pub zone: u32,
+    /// Still to be given work: neither draining nor gone.
+    pub ready: bool,
+    pub started: Option<Moment>,
+}
+
+/// One part of a scan, as it was taken.
+#[derive(Clone, Copy, Debug)]
+pub struct PartTaken {
+    pub shard: u32,
+    pub weight: f64,
+    /// The client's rough hint of its work.
+    pub work: Option<Span>,
+}
+
+/// A scan, as it was taken.
+#[derive(Clone, Debug)]
+pub struct ScanTaken {
+    pub traffic_type: usize,
+    pub customer: usize,
+    /// Until the client gives up on this try.
+    pub left: Span,
+    pub work: Option<Span>,
+    /// The client says that it has asked before.
+    pub repeat: bool,
+    pub parts: Vec<PartTaken>,
+}
+
+/// What a front does for the module. Every call takes effect at once, at [`Host::now`].
+pub trait Host {
+    fn now(&self) -> Moment;
+    /// Sends a part; its end comes back as `Mixer::landed`.
+    fn relay(&mut self, ticket: Ticket, scan: ScanId, part: usize, to: Searcher, patience: Span);
+    /// Ends the wait on a relay; its end still comes back.
+    fn call_off(&mut self, relay: Ticket);
+    /// Answers from the parts honoured; `last` is false where a second step follows.
+    fn answer(&mut self, scan: ScanId, whole: bool, last: bool);
+    /// Turns a scan away as harmless to ask again, after a pause.
+    fn bounce(&mut self, scan: ScanId, pause: Span);
+    /// Gives a scan up, with no promise.
+    fn write_off(&mut self, scan: ScanId);
+    /// Comes back as `Mixer::woken`, at or soon after that time.
+    fn wake(&mut self, ticket: Ticket, at: Moment);
+    /// Asks whether a searcher is there; comes back as `Mixer::checked`.
+    fn check(&mut self, searcher: Searcher);
+    /// Asks to be told of changes to the list.
+    fn watch_list(&mut self);
+}
