--- a/src/choice.rs
+++ b/src/choice.rs
@@ -69,7 +69,7 @@
         let old = self.0;
         self.0 = old.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
         let mixed = ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32);
-        (u64::from(mixed) * n as u64 >> 32) as usize
+        ((u64::from(mixed) * n as u64) >> 32) as usize
     }
 }
 
@@ -396,6 +396,8 @@
 /// present one; the nearer to it, the more credit a scan must bring.
 pub struct Door {
     limit: f64,
+    /// The most that the mixer may hold at all.
+    most: f64,
     shortest: f64,
     present: f64,
     over_share_credit: f64,
@@ -407,16 +409,18 @@
 }
 
 impl Door {
-    pub fn new(
-        fleet: usize,
-        shares: &[f64],
-        over_share_credit: f64,
-        by_work: bool,
-        longest_pause: Span,
-    ) -> Self {
+    pub fn new(fleet: usize, shares: &[f64], over_share_credit: f64, by_work: bool) -> Self {
         let customers = shares.iter().map(|s| (s / fleet.max(1) as f64, 0.0, Moment::default())).collect();
-        let (limit, shortest, present) = (100.0, 0.0, 0.0);
-        Self { limit, shortest, present, over_share_credit, by_work, best: 0.0, customers, longest_pause }
+        let (limit, shortest, present, best) = (f64::MAX, 0.0, 0.0, 0.0);
+        let (most, longest_pause) = (f64::MAX, Span::ZERO);
+        Self { limit, most, shortest, present, over_share_credit, by_work, best, customers, longest_pause }
+    }
+
+    /// How much the mixer may hold, and for how long a client may be told to stay away.
+    pub fn bounds(mut self, most: usize, longest_pause: Span) -> Self {
+        (self.most, self.longest_pause) = (most as f64, longest_pause);
+        self.limit = self.most;
+        self
     }
 
     fn over_share(&mut self, now: Moment, customer: usize) -> bool {
@@ -439,18 +443,16 @@
         out == 0 || (out + parts) as f64 <= self.limit * (0.5 + 0.5 * worth.min(1.0))
     }
 
-    fn note_answer(&mut self, took: Span, out: usize) {
-        let sample = took.as_f64();
-        if self.present == 0.0 {
-            (self.shortest, self.present) = (sample, sample);
-        }
-        self.present += 0.05 * (sample - self.present);
-        self.shortest = (self.shortest * 1.0005).min(self.present);
+    /// Failures count with the quoted time: a full room is as good as a late answer.
+    fn note_time(&mut self, took: Span, out: usize) {
+        // A fiftieth: the answers of about a second at a busy mixer.
+        self.present += 0.02 * (took.as_f64() - self.present);
+        self.shortest = (self.shortest * 1.0001).min(self.present);
         // Three times the shortest is a queue of two parts before each core: well within any quoted time.
         let ratio = (3.0 * self.shortest / self.present).clamp(0.5, 1.0);
         if ratio < 1.0 || out as f64 > self.limit / 2.0 {
             let aimed = self.limit * ratio + self.limit.sqrt();
-            self.limit = (self.limit + 0.05 * (aimed - self.limit)).max(4.0);
+            self.limit = (self.limit + 0.05 * (aimed - self.limit)).clamp(8.0, self.most);
         }
     }
 
@@ -538,6 +540,7 @@
             parts_out: 0,
         };
         // The design's start: a tenth of the quoted time.
+        (mixer.door.shortest, mixer.door.present) = (least.as_f64() / 10.0, least.as_f64() / 10.0);
         (mixer.roster.typical, mixer.roster.spread) = (least.as_f64() / 10.0, least.as_f64() / 20.0);
         mixer
     }
@@ -711,7 +714,7 @@
         let relay = self.landings.leave(move |mixer, host, landed| {
             mixer.roster.note_landed(host.now(), to, &landed, quoted);
             mixer.reached_or_not(host, to, landed.how);
-            mixer.relay_landed(host, id, part, now, landed);
+            mixer.relay_landed(host, id, part, now, quoted, landed);
         });
         self.parts_out += 1;
         self.roster.note_sent(now, to, relay);
@@ -736,10 +739,22 @@
         host.wake(ticket, host.now() + wait);
     }
 
-    fn relay_landed(&mut self, host: &mut dyn Host, id: ScanId, at: usize, sent: Moment, landed: Landed) {
+    fn relay_landed(
+        &mut self,
+        host: &mut dyn Host,
+        id: ScanId,
+        at: usize,
+        sent: Moment,
+        quoted: Span,
+        landed: Landed,
+    ) {
         self.parts_out -= 1;
-        if landed.how == Landing::Honoured {
-            self.door.note_answer(landed.took, self.parts_out);
+        match landed.how {
+            Landing::Unsent | Landing::Unreached => {}
+            Landing::Honoured | Landing::Silent | Landing::CalledOff => {
+                self.door.note_time(landed.took, self.parts_out);
+            }
+            _ => self.door.note_time(quoted.max(landed.took), self.parts_out),
         }
         let Some(scan) = self.scans.get_mut(&id) else { return };
         let part = &mut scan.parts[at];
