--- a/src/choice.rs
+++ b/src/choice.rs
@@ -724,19 +724,6 @@
         sent.out.push(relay);
         sent.may_have_run.push(now);
         host.relay(relay, id, part, to, scan.ends.since(now));
-        self.look_after(host, id, part, relay);
-    }
-
-    /// Looks at a relay once it is overdue, and again each time as long passes: a second copy if it may.
-    fn look_after(&mut self, host: &mut dyn Host, id: ScanId, part: usize, relay: Ticket) {
-        let wait = Span::of_micros(self.roster.overdue() as u64).max(self.lead);
-        let ticket = self.wakes.leave(move |mixer, host, ()| {
-            let Some(scan) = mixer.scans.get(&id) else { return };
-            if scan.parts[part].out == [relay] && !mixer.relay_again(host, id, part) {
-                mixer.look_after(host, id, part, relay);
-            }
-        });
-        host.wake(ticket, host.now() + wait);
     }
 
     fn relay_landed(
