--- a/crates/simhost/src/readings.rs
+++ b/crates/simhost/src/readings.rs
@@ -106,10 +106,8 @@
             &(0..self.count("customers")?).map(quota).collect::<Result<Vec<_>, _>>()?,
             self.number("over_share_worth", 1.0)?,
             self.says("worth_by", "work"),
+            if self.yes("limits.retry_after") { self.span("limits.max_retry_after")? } else { Span::ZERO },
         );
-        let pause =
-            if self.yes("limits.retry_after") { self.span("limits.max_retry_after")? } else { Span::ZERO };
-        let door = door.bounds(self.number("limits.max_open", f64::from(u16::MAX))? as usize, pause);
         let mixer = Mixer::new(self.traffic_types()?, roster, budget, door, self.span("tick")?);
         let cap = self.number("limits.attempts_cap", 1.0)? as usize;
         Ok(mixer.allowing(cap, self.yes("limits.may_duplicate"), self.yes("limits.cancel")))
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -192,6 +192,8 @@
     started: Option<Moment>,
     fresh: Option<Fresh>,
     latency: Option<f64>,
+    /// How many relays it may have in flight before scans are turned away.
+    limit: f64,
     /// Relays out, with the time they left; emptied as they land.
     out: Vec<(Ticket, Moment)>,
     heard: Moment,
@@ -225,9 +227,15 @@
     }
 
     /// Smooths a latency in. A quarter: four or so answers tell a new state, one odd part does not.
-    fn learn(&mut self, now: Moment, sample: f64) {
+    fn learn(&mut self, now: Moment, sample: f64, shortest: f64) {
         self.heard = now;
         self.latency = Some(self.latency.map_or(sample, |old| old + 0.25 * (sample - old)));
+        // Two and a half times the shortest is a queue of a part or two before each core.
+        let ratio = (2.5 * shortest / self.latency.unwrap_or(sample)).clamp(0.5, 1.0);
+        if ratio < 1.0 || self.out.len() as f64 > self.limit / 2.0 {
+            let aimed = self.limit * ratio + self.limit.sqrt();
+            self.limit = (self.limit + 0.1 * (aimed - self.limit)).max(1.0);
+        }
     }
 }
 
@@ -254,12 +262,25 @@
     /// Smoothed time and spread of answered parts, over all searchers.
     typical: f64,
     spread: f64,
+    /// The shortest that the smoothed time has been of late.
+    shortest: f64,
 }
 
 impl Roster {
     pub fn new(seed: u64, cells: u32, width: u32, per_call: usize, may_check: bool, cold: ColdCare) -> Self {
         let (cells, chance) = (cells.max(1), Chance(seed));
-        Self { seats: vec![], cells, width, per_call, may_check, cold, chance, typical: 0.0, spread: 0.0 }
+        Self {
+            seats: vec![],
+            cells,
+            width,
+            per_call,
+            may_check,
+            cold,
+            chance,
+            typical: 0.0,
+            spread: 0.0,
+            shortest: 0.0,
+        }
     }
 
     fn seat(&mut self, searcher: Searcher) -> &mut Seat {
@@ -285,6 +306,8 @@
         // A twentieth: the last twenty parts or so, some seconds of one mixer's scans.
         self.spread += 0.05 * ((sample - self.typical).abs() - self.spread);
         self.typical += 0.05 * (sample - self.typical);
+        // It may rise by half in some hundred answers, should the work itself have grown.
+        self.shortest = (self.shortest * 1.0005).min(self.typical);
     }
 
     /// The design's choice: least latency x (own parts out + 1), among replicas that are listed ready, not
@@ -326,6 +349,15 @@
         }
     }
 
+    /// Whether a shard has a replica under its limit, of which a scan of such worth may fill so much; where
+    /// none is up, that is not for the door to say.
+    fn has_room(&self, shard: u32, worth: f64) -> bool {
+        let holds = |s: &&Seat| (s.cell + self.cells - shard % self.cells) % self.cells < self.width;
+        let mut up = self.seats.iter().filter(|s| s.ready && !s.down).filter(holds).peekable();
+        let share = 0.5 + 0.5 * worth.min(1.0);
+        up.peek().is_none() || up.any(|s| s.out.is_empty() || (s.out.len() as f64) < s.limit * share)
+    }
+
     fn note_sent(&mut self, now: Moment, searcher: Searcher, ticket: Ticket) {
         let work = Span::of_micros(self.average() as u64);
         let (cold, fall) = (self.cold.cold, self.cold.fall);
@@ -347,7 +379,7 @@
     /// for a few parts.
     fn note_landed(&mut self, now: Moment, from: Searcher, landed: &Landed, quoted: Span) {
         let Landed { relay, how, took } = *landed;
-        let average = self.average();
+        let (average, shortest) = (self.average(), self.shortest);
         let seat = self.seat(from);
         seat.out.retain(|(ticket, _)| *ticket != relay);
         let owes = (!seat.out.is_empty()).then_some(now);
@@ -361,13 +393,13 @@
             Landing::Silent | Landing::CalledOff => {
                 let known = seat.latency.unwrap_or(average);
                 if took.as_f64() > known {
-                    seat.learn(now, took.as_f64());
+                    seat.learn(now, took.as_f64(), shortest);
                 }
                 seat.heard = now;
             }
             Landing::Honoured => {
                 seat.owing_since = owes;
-                seat.learn(now, took.as_f64());
+                seat.learn(now, took.as_f64(), shortest);
                 if let Some(fresh) = &mut seat.fresh {
                     fresh.answers += 1;
                 }
@@ -375,7 +407,7 @@
             }
             Landing::Erred | Landing::TurnedAway | Landing::Dropped => {
                 seat.owing_since = owes;
-                seat.learn(now, quoted.as_f64().max(took.as_f64()));
+                seat.learn(now, quoted.as_f64().max(took.as_f64()), shortest);
             }
         }
     }
@@ -395,11 +427,6 @@
 /// Which scans are taken. A limit on parts in flight follows the ratio of the shortest answer time to the
 /// present one; the nearer to it, the more credit a scan must bring.
 pub struct Door {
-    limit: f64,
-    /// The most that the mixer may hold at all.
-    most: f64,
-    shortest: f64,
-    present: f64,
     over_share_credit: f64,
     by_work: bool,
     best: f64,
@@ -409,18 +436,15 @@
 }
 
 impl Door {
-    pub fn new(fleet: usize, shares: &[f64], over_share_credit: f64, by_work: bool) -> Self {
+    pub fn new(
+        fleet: usize,
+        shares: &[f64],
+        over_share_credit: f64,
+        by_work: bool,
+        longest_pause: Span,
+    ) -> Self {
         let customers = shares.iter().map(|s| (s / fleet.max(1) as f64, 0.0, Moment::default())).collect();
-        let (limit, shortest, present, best) = (f64::MAX, 0.0, 0.0, 0.0);
-        let (most, longest_pause) = (f64::MAX, Span::ZERO);
-        Self { limit, most, shortest, present, over_share_credit, by_work, best, customers, longest_pause }
-    }
-
-    /// How much the mixer may hold, and for how long a client may be told to stay away.
-    pub fn bounds(mut self, most: usize, longest_pause: Span) -> Self {
-        (self.most, self.longest_pause) = (most as f64, longest_pause);
-        self.limit = self.most;
-        self
+        Self { over_share_credit, by_work, best: 0.0, customers, longest_pause }
     }
 
     fn over_share(&mut self, now: Moment, customer: usize) -> bool {
@@ -438,24 +462,6 @@
         worth / self.best.max(f64::MIN_POSITIVE)
     }
 
-    /// A scan of the best credit may fill the limit, one of none half of it.
-    fn admits(&self, out: usize, parts: usize, worth: f64) -> bool {
-        out == 0 || (out + parts) as f64 <= self.limit * (0.5 + 0.5 * worth.min(1.0))
-    }
-
-    /// Failures count with the quoted time: a full room is as good as a late answer.
-    fn note_time(&mut self, took: Span, out: usize) {
-        // A fiftieth: the answers of about a second at a busy mixer.
-        self.present += 0.02 * (took.as_f64() - self.present);
-        self.shortest = (self.shortest * 1.0001).min(self.present);
-        // Three times the shortest is a queue of two parts before each core: well within any quoted time.
-        let ratio = (3.0 * self.shortest / self.present).clamp(0.5, 1.0);
-        if ratio < 1.0 || out as f64 > self.limit / 2.0 {
-            let aimed = self.limit * ratio + self.limit.sqrt();
-            self.limit = (self.limit + 0.05 * (aimed - self.limit)).clamp(8.0, self.most);
-        }
-    }
-
     fn pause(&self) -> Span {
         self.longest_pause
     }
@@ -540,8 +546,8 @@
             parts_out: 0,
         };
         // The design's start: a tenth of the quoted time.
-        (mixer.door.shortest, mixer.door.present) = (least.as_f64() / 10.0, least.as_f64() / 10.0);
-        (mixer.roster.typical, mixer.roster.spread) = (least.as_f64() / 10.0, least.as_f64() / 20.0);
+        (mixer.roster.typical, mixer.roster.shortest) = (least.as_f64() / 10.0, least.as_f64() / 10.0);
+        mixer.roster.spread = least.as_f64() / 20.0;
         mixer
     }
 
@@ -577,6 +583,7 @@
                     started: None,
                     fresh: None,
                     latency: None,
+                    limit: 10.0,
                     out: Vec::new(),
                     heard: now,
                     owing_since: None,
@@ -614,7 +621,9 @@
         let worth = self.door.worth(credit, scan.parts.len());
         let quoted = kind.quoted + scan.work.unwrap_or(Span::ZERO) * kind.stretch;
         let patience = quoted.min(scan.left).less(self.lead);
-        if patience == Span::ZERO || !self.door.admits(self.parts_out, scan.parts.len(), worth) {
+        let room =
+            scan.parts.iter().filter(|p| self.roster.has_room(p.shard, worth)).map(|p| p.weight).sum::<f64>();
+        if patience == Span::ZERO || room + SLACK < kind.floor {
             return host.bounce(id, self.door.pause());
         }
         let wait = if kind.second_step { patience * 0.5 } else { patience };
@@ -736,13 +745,6 @@
         landed: Landed,
     ) {
         self.parts_out -= 1;
-        match landed.how {
-            Landing::Unsent | Landing::Unreached => {}
-            Landing::Honoured | Landing::Silent | Landing::CalledOff => {
-                self.door.note_time(landed.took, self.parts_out);
-            }
-            _ => self.door.note_time(quoted.max(landed.took), self.parts_out),
-        }
         let Some(scan) = self.scans.get_mut(&id) else { return };
         let part = &mut scan.parts[at];
         part.out.retain(|relay| *relay != landed.relay);
