--- a/src/choice.rs
+++ b/src/choice.rs
@@ -231,7 +231,7 @@
         self.heard = now;
         self.latency = Some(self.latency.map_or(sample, |old| old + 0.25 * (sample - old)));
         // Two and a half times the shortest is a queue of a part or two before each core.
-        let ratio = (2.5 * shortest / self.latency.unwrap_or(sample)).clamp(0.5, 1.0);
+        let ratio = (2.5 * shortest / self.latency.unwrap_or(sample)).clamp(0.1, 1.0);
         if ratio < 1.0 || self.out.len() as f64 > self.limit / 2.0 {
             let aimed = self.limit * ratio + self.limit.sqrt();
             self.limit = (self.limit + 0.1 * (aimed - self.limit)).max(1.0);
@@ -583,7 +583,7 @@
                     started: None,
                     fresh: None,
                     latency: None,
-                    limit: 10.0,
+                    limit: 4.0,
                     out: Vec::new(),
                     heard: now,
                     owing_since: None,
