Count called-off parts as in flight until a later one is answered

Cause: a cancel stops nothing, so the queue held more than the limit saw. Should also hold for hangs and pauses; hurts where cancels do clear the queue, for one check interval.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -196,6 +196,9 @@
     limit: f64,
     /// Relays out, with the time they left; emptied as they land.
     out: Vec<(Ticket, Moment)>,
+    /// When relays left that nobody waits for any more, but that may run on there; emptied by an answer to a
+    /// later one, or after a check interval.
+    forsaken: Vec<Moment>,
     heard: Moment,
     /// Since when it has owed an answer and given none.
     owing_since: Option<Moment>,
@@ -206,6 +209,11 @@
 }
 
 impl Seat {
+    /// Work of ours that it has or may have.
+    fn busy(&self) -> usize {
+        self.out.len() + self.forsaken.len()
+    }
+
     fn calls_out(&self, per_call: usize) -> usize {
         if per_call <= 1 {
             return self.out.len();
@@ -355,7 +363,7 @@
         let holds = |s: &&Seat| (s.cell + self.cells - shard % self.cells) % self.cells < self.width;
         let mut up = self.seats.iter().filter(|s| s.ready && !s.down).filter(holds).peekable();
         let share = 0.5 + 0.5 * worth.min(1.0);
-        up.peek().is_none() || up.any(|s| s.out.is_empty() || (s.out.len() as f64) < s.limit * share)
+        up.peek().is_none() || up.any(|s| s.busy() == 0 || (s.busy() as f64) < s.limit * share)
     }
 
     fn note_sent(&mut self, now: Moment, searcher: Searcher, ticket: Ticket) {
@@ -381,7 +389,9 @@
         let Landed { relay, how, took } = *landed;
         let (average, shortest) = (self.average(), self.shortest);
         let seat = self.seat(from);
-        seat.out.retain(|(ticket, _)| *ticket != relay);
+        let sent =
+            seat.out.iter().position(|(ticket, _)| *ticket == relay).map_or(now, |i| seat.out.remove(i).1);
+        seat.forsaken.retain(|at| now.since(*at) < CHECK_EVERY && !(how == Landing::Honoured && *at <= sent));
         let owes = (!seat.out.is_empty()).then_some(now);
         match how {
             Landing::Unsent => {
@@ -391,6 +401,7 @@
             }
             Landing::Unreached => seat.owing_since = owes,
             Landing::Silent | Landing::CalledOff => {
+                seat.forsaken.push(sent);
                 let known = seat.latency.unwrap_or(average);
                 if took.as_f64() > known {
                     seat.learn(now, took.as_f64(), shortest);
@@ -585,6 +596,7 @@
                     latency: None,
                     limit: 4.0,
                     out: Vec::new(),
+                    forsaken: Vec::new(),
                     heard: now,
                     owing_since: None,
                     down: false,
