--- a/src/choice.rs
+++ b/src/choice.rs
@@ -735,7 +735,7 @@
         let relay = self.landings.leave(move |mixer, host, landed| {
             mixer.roster.note_landed(host.now(), to, &landed, quoted);
             mixer.reached_or_not(host, to, landed.how);
-            mixer.relay_landed(host, id, part, now, quoted, landed);
+            mixer.relay_landed(host, id, part, now, landed);
         });
         self.parts_out += 1;
         self.roster.note_sent(now, to, relay);
@@ -747,15 +747,7 @@
         host.relay(relay, id, part, to, scan.ends.since(now));
     }
 
-    fn relay_landed(
-        &mut self,
-        host: &mut dyn Host,
-        id: ScanId,
-        at: usize,
-        sent: Moment,
-        quoted: Span,
-        landed: Landed,
-    ) {
+    fn relay_landed(&mut self, host: &mut dyn Host, id: ScanId, at: usize, sent: Moment, landed: Landed) {
         self.parts_out -= 1;
         let Some(scan) = self.scans.get_mut(&id) else { return };
         let part = &mut scan.parts[at];
@@ -787,7 +779,8 @@
             (Effect::Irreversible, Some(_)) => false,
         };
         let in_time = scan.ends.since(now).as_f64() > self.roster.typical / 2.0;
-        let allowed = part.relays < self.relay_cap && (part.out.is_empty() || self.may_copy);
+        let room = self.roster.has_room(part.shard, 0.0);
+        let allowed = room && part.relays < self.relay_cap && (part.out.is_empty() || self.may_copy);
         if !(harmless && in_time && allowed) {
             return false;
         }
