--- a/src/choice.rs
+++ b/src/choice.rs
@@ -357,13 +357,15 @@
         }
     }
 
-    /// Whether a shard has a replica under its limit, of which a scan of such worth may fill so much; where
-    /// none is up, that is not for the door to say.
-    fn has_room(&self, shard: u32, worth: f64) -> bool {
+    /// Whether the replicas of a shard together have room under their limits for so many parts, of which a
+    /// scan of such worth may fill so much; where none is up, that is not for the door to say.
+    fn has_room(&self, shard: u32, worth: f64, parts: usize) -> bool {
         let holds = |s: &&Seat| (s.cell + self.cells - shard % self.cells) % self.cells < self.width;
-        let mut up = self.seats.iter().filter(|s| s.ready && !s.down).filter(holds).peekable();
         let share = 0.5 + 0.5 * worth.min(1.0);
-        up.peek().is_none() || up.any(|s| s.busy() == 0 || (s.busy() as f64) < s.limit * share)
+        let free =
+            |s: &Seat| (s.limit * share - s.busy() as f64).max(if s.busy() == 0 { 1.0 } else { 0.0 }).ceil();
+        let up = self.seats.iter().filter(|s| s.ready && !s.down).filter(holds).map(free);
+        up.reduce(|a, b| a + b).is_none_or(|room| room >= parts as f64)
     }
 
     fn note_sent(&mut self, now: Moment, searcher: Searcher, ticket: Ticket) {
@@ -633,8 +635,12 @@
         let worth = self.door.worth(credit, scan.parts.len());
         let quoted = kind.quoted + scan.work.unwrap_or(Span::ZERO) * kind.stretch;
         let patience = quoted.min(scan.left).less(self.lead);
-        let room =
-            scan.parts.iter().filter(|p| self.roster.has_room(p.shard, worth)).map(|p| p.weight).sum::<f64>();
+        let fits = |p: &&PartTaken| {
+            let beside =
+                scan.parts.iter().filter(|o| o.shard % self.roster.cells == p.shard % self.roster.cells);
+            self.roster.has_room(p.shard, worth, beside.count())
+        };
+        let room = scan.parts.iter().filter(fits).map(|p| p.weight).sum::<f64>();
         if patience == Span::ZERO || room + SLACK < kind.floor {
             return host.bounce(id, self.door.pause());
         }
@@ -779,7 +785,7 @@
             (Effect::Irreversible, Some(_)) => false,
         };
         let in_time = scan.ends.since(now).as_f64() > self.roster.typical / 2.0;
-        let room = self.roster.has_room(part.shard, 0.0);
+        let room = self.roster.has_room(part.shard, 0.0, 1);
         let allowed = room && part.relays < self.relay_cap && (part.out.is_empty() || self.may_copy);
         if !(harmless && in_time && allowed) {
             return false;
