Skip the lightest parts of a partial scan where their searchers have no room

Cause: a league-table sends one part to every shard, most of them of next to no weight, and crowds out the rest. An exception to the design's all parts at once, only where a searcher is at its limit; kept.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -496,6 +496,7 @@
 /// An open scan.
 struct Scan {
     traffic_type: usize,
+    worth: f64,
     /// When the one timer ends the wait.
     ends: Moment,
     parts: Vec<Part>,
@@ -648,6 +649,7 @@
         let parts = scan.parts.iter().map(Part::new).collect();
         let open = Scan {
             traffic_type: scan.traffic_type,
+            worth,
             ends: now + patience,
             parts,
             first: 0,
@@ -710,9 +712,24 @@
     }
 
     fn send_out(&mut self, host: &mut dyn Host, id: ScanId) {
-        let Some(scan) = self.scans.get(&id) else { return };
-        for part in scan.first..scan.parts.len() {
-            self.relay_first(host, id, part);
+        let Some(scan) = self.scans.get_mut(&id) else { return };
+        let mut order: Vec<usize> = (scan.first..scan.parts.len()).collect();
+        order.sort_by(|a, b| scan.parts[*b].weight.total_cmp(&scan.parts[*a].weight));
+        let floor = self.types[scan.traffic_type].floor;
+        // Halfway between the floor and all leaves some parts to be lost to other causes.
+        let mut spare = (1.0 - floor) / 2.0;
+        let (worth, count) = (scan.worth, order.len() as f64);
+        for part in order {
+            let Some(Part { shard, weight, .. }) = self.scans.get(&id).map(|s| &s.parts[part]) else {
+                return;
+            };
+            let (shard, weight) = (*shard, *weight);
+            if weight <= spare && !self.roster.has_room(shard, worth * weight * count, 1) {
+                spare -= weight;
+                self.scans.get_mut(&id).into_iter().for_each(|s| s.parts[part].lost = true);
+            } else {
+                self.relay_first(host, id, part);
+            }
         }
         self.settle(host, id);
     }
