A repeat past its quoted time counts only its late credit at the door

Cause: under stress a quarter of the answers were late ones to repeats. A repeat whose full time is left cannot be told from a fresh scan.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -446,6 +446,8 @@
     /// Each customer's scans a second at this mixer, and how far it is ahead of them; one line a customer.
     customers: Vec<(f64, f64, Moment)>,
     longest_pause: Span,
+    /// The longest that a client gave a try, for each traffic type.
+    longest_left: Vec<Span>,
 }
 
 impl Door {
@@ -457,7 +459,7 @@
         longest_pause: Span,
     ) -> Self {
         let customers = shares.iter().map(|s| (s / fleet.max(1) as f64, 0.0, Moment::default())).collect();
-        Self { over_share_credit, by_work, best: 0.0, customers, longest_pause }
+        Self { over_share_credit, by_work, best: 0.0, customers, longest_pause, longest_left: Vec::new() }
     }
 
     fn over_share(&mut self, now: Moment, customer: usize) -> bool {
@@ -468,6 +470,21 @@
         *ahead > 3.0 * *rate + 1.0
     }
 
+    /// How long ago the client first asked, as far as its time left tells: a repeat with less left than its
+    /// sort has at most has only the rest of the abandon time.
+    fn elapsed(&mut self, traffic_type: usize, repeat: bool, left: Span, abandon: Span) -> Span {
+        if self.longest_left.len() <= traffic_type {
+            self.longest_left.resize(traffic_type + 1, Span::ZERO);
+        }
+        let longest = &mut self.longest_left[traffic_type];
+        *longest = left.max(*longest);
+        if repeat && left < *longest {
+            abandon.less(left)
+        } else {
+            Span::ZERO
+        }
+    }
+
     /// A scan's credit for its work, against the best met: per part where credit does not grow with work.
     fn worth(&mut self, credit: f64, parts: usize) -> f64 {
         let worth = if self.by_work { credit } else { credit / parts.max(1) as f64 };
@@ -632,9 +649,13 @@
         self.budget.note_taken(now, 1 + scan.parts.len());
         let over = self.door.over_share(now, scan.customer);
         let Some(kind) = self.types.get(scan.traffic_type) else { return host.write_off(id) };
-        let credit = if over { kind.credit * self.door.over_share_credit } else { kind.credit };
-        let worth = self.door.worth(credit, scan.parts.len());
+        let elapsed = self.door.elapsed(scan.traffic_type, scan.repeat, scan.left, kind.abandon);
         let quoted = kind.quoted + scan.work.unwrap_or(Span::ZERO) * kind.stretch;
+        let late = elapsed + self.lead >= quoted;
+        let quoted = if late { quoted } else { quoted.less(elapsed) };
+        let mut credit = if over { kind.credit * self.door.over_share_credit } else { kind.credit };
+        credit *= if late { kind.late_credit } else { 1.0 };
+        let worth = self.door.worth(credit, scan.parts.len());
         let patience = quoted.min(scan.left).less(self.lead);
         let fits = |p: &&PartTaken| {
             let beside =
@@ -642,7 +663,7 @@
             self.roster.has_room(p.shard, worth, beside.count())
         };
         let room = scan.parts.iter().filter(fits).map(|p| p.weight).sum::<f64>();
-        if patience == Span::ZERO || room + SLACK < kind.floor {
+        if patience == Span::ZERO || worth <= 0.0 || room + SLACK < kind.floor {
             return host.bounce(id, self.door.pause());
         }
         let wait = if kind.second_step { patience * 0.5 } else { patience };
