--- a/crates/simhost/src/readings.rs
+++ b/crates/simhost/src/readings.rs
@@ -110,7 +110,7 @@
         );
         let mixer = Mixer::new(self.traffic_types()?, roster, budget, door, self.span("tick")?);
         let cap = self.number("limits.attempts_cap", 1.0)? as usize;
-        Ok(mixer.allowing(cap, self.yes("limits.may_duplicate"), self.yes("limits.cancel")))
+        Ok(mixer.allowing(cap, self.yes("limits.cancel")))
     }
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,14 +7,15 @@
 //! or at its one timer. Each step leaves a closure, and the step's result is handed to it.
 //!
 //! Beside the design stand six mechanisms:
-//! 1. silence and failure read as latency (`Seat::standing`)
-//! 2. further relays: a failed part at once, an overdue one as a second copy (`Mixer::relay_again`)
-//! 3. the relay budget, stated or our own (`RelayBudget`)
-//! 4. a fresh searcher's cap, which grows with its answers (`ColdCare`)
-//! 5. a limit on parts in flight, least credit turned away first (`Door`)
+//! 1. silence and failure read as latency (`Seat::standing`, `Roster::note_landed`)
+//! 2. a failed part goes to another replica, within a budget (`Mixer::relay_again`, `RelayBudget`)
+//! 3. a fresh searcher's cap, which grows with its answers (`ColdCare`)
+//! 4. a limit on what is in flight at each searcher; least credit is turned away first (`Door`, `Roster::room`)
+//! 5. light parts are skipped where their searchers are at that limit (`Mixer::send_out`)
 //! 6. an early end for a scan that can no longer be answered (`Mixer::settle`)
 
 use crate::{Host, Landing, Listing, Moment, PartTaken, ScanId, ScanTaken, Searcher, Span, Ticket};
+use slab::Slab;
 use std::collections::{BTreeMap, VecDeque};
 
 /// How a relay ended, for whoever waits for it.
@@ -25,42 +26,9 @@
     took: Span,
 }
 
-impl Landed {
-    fn never_ran(&self) -> bool {
-        matches!(self.how, Landing::TurnedAway | Landing::Unreached | Landing::Unsent)
-    }
-}
-
 /// What to do with a result, left behind by the step that asked for it.
 type Then<R> = Box<dyn FnOnce(&mut Mixer, &mut dyn Host, R)>;
 
-/// Closures waiting for their results. Emptied as the results come; each relay and timer has just one.
-struct Pending<R> {
-    left: Vec<Option<Then<R>>>,
-    free: Vec<u32>,
-}
-
-impl<R> Pending<R> {
-    fn new() -> Self {
-        Self { left: Vec::new(), free: Vec::new() }
-    }
-
-    fn leave(&mut self, then: impl FnOnce(&mut Mixer, &mut dyn Host, R) + 'static) -> Ticket {
-        let at = self.free.pop().unwrap_or(self.left.len() as u32);
-        if at as usize == self.left.len() {
-            self.left.push(None);
-        }
-        self.left[at as usize] = Some(Box::new(then));
-        Ticket(at)
-    }
-
-    fn take(&mut self, ticket: Ticket) -> Option<Then<R>> {
-        let then = self.left.get_mut(ticket.0 as usize)?.take()?;
-        self.free.push(ticket.0);
-        Some(then)
-    }
-}
-
 /// A permuted congruential generator (PCG-XSH-RR 64/32), for ties alone.
 struct Chance(u64);
 
@@ -186,6 +154,7 @@
 }
 
 /// One searcher as this mixer knows it.
+#[derive(Default)]
 struct Seat {
     cell: u32,
     ready: bool,
@@ -359,7 +328,7 @@
 
     /// Whether the replicas of a shard together have room under their limits for so many parts, of which a
     /// scan of such worth may fill so much; where none is up, that is not for the door to say.
-    fn has_room(&self, shard: u32, worth: f64, parts: usize) -> bool {
+    fn room(&self, shard: u32, worth: f64, parts: usize) -> bool {
         let holds = |s: &&Seat| (s.cell + self.cells - shard % self.cells) % self.cells < self.width;
         let share = 0.5 + 0.5 * worth.min(1.0);
         let free =
@@ -501,11 +470,10 @@
 struct Part {
     shard: u32,
     weight: f64,
-    relays: usize,
     tried: Vec<Searcher>,
-    out: Vec<Ticket>,
-    /// When relays left that are out or may have run.
-    may_have_run: Vec<Moment>,
+    out: Option<Ticket>,
+    /// When the first relay left that is out or may have run.
+    may_have_run: Option<Moment>,
     honoured: bool,
     lost: bool,
 }
@@ -526,8 +494,7 @@
 impl Part {
     fn new(taken: &PartTaken) -> Self {
         let PartTaken { shard, weight, .. } = *taken;
-        let (tried, out, may_have_run) = (Vec::new(), Vec::new(), Vec::new());
-        Self { shard, weight, relays: 0, tried, out, may_have_run, honoured: false, lost: false }
+        Self { shard, weight, tried: vec![], out: None, may_have_run: None, honoured: false, lost: false }
     }
 }
 
@@ -548,14 +515,13 @@
     door: Door,
     /// Relays that one part may have.
     relay_cap: usize,
-    may_copy: bool,
     may_call_off: bool,
     lead: Span,
     /// Open scans; each leaves with its final answer.
     scans: BTreeMap<ScanId, Scan>,
-    landings: Pending<Landed>,
-    wakes: Pending<()>,
-    parts_out: usize,
+    /// What to do when a relay lands or a time comes; each is taken out by its one result.
+    landings: Slab<Then<Landed>>,
+    wakes: Slab<Then<()>>,
 }
 
 impl Mixer {
@@ -567,14 +533,12 @@
             budget,
             door,
             relay_cap: 1,
-            may_copy: false,
             may_call_off: false,
             // Three ticks: one for the timer to be late, one for the answer, one for the network.
             lead: tick * 3.0,
             scans: BTreeMap::new(),
-            landings: Pending::new(),
-            wakes: Pending::new(),
-            parts_out: 0,
+            landings: Slab::new(),
+            wakes: Slab::new(),
         };
         // The design's start: a tenth of the quoted time.
         (mixer.roster.typical, mixer.roster.shortest) = (least.as_f64() / 10.0, least.as_f64() / 10.0);
@@ -582,9 +546,9 @@
         mixer
     }
 
-    /// What the deployment allows a part: so many relays, two at a time, calling one off.
-    pub fn allowing(mut self, relay_cap: usize, may_copy: bool, may_call_off: bool) -> Self {
-        (self.relay_cap, self.may_copy, self.may_call_off) = (relay_cap.max(1), may_copy, may_call_off);
+    /// What the deployment allows a part: so many relays, and to call one off.
+    pub fn allowing(mut self, relay_cap: usize, may_call_off: bool) -> Self {
+        (self.relay_cap, self.may_call_off) = (relay_cap.max(1), may_call_off);
         self
     }
 
@@ -595,9 +559,8 @@
 
     /// The watch broke or could not be had: ask again, after a pause that lets a busy list recover.
     pub fn list_failed(&mut self, host: &mut dyn Host) {
-        let ticket = self.wakes.leave(|_, host, ()| host.watch_list());
         let pause = Span::of_millis(500 + self.roster.chance.below(500) as u64);
-        host.wake(ticket, host.now() + pause);
+        self.later(host, pause, |_, host| host.watch_list());
     }
 
     /// News of searchers; with `whole` it is the full list, and who is not in it is gone.
@@ -608,22 +571,8 @@
         }
         for listing in listings {
             while self.roster.seats.len() <= listing.searcher.0 as usize {
-                self.roster.seats.push(Seat {
-                    cell: listing.cell,
-                    ready: false,
-                    started: None,
-                    fresh: None,
-                    latency: None,
-                    limit: 4.0,
-                    out: Vec::new(),
-                    forsaken: Vec::new(),
-                    heard: now,
-                    owing_since: None,
-                    down: false,
-                    checking: false,
-                    check_due: false,
-                    next_check: None,
-                });
+                // Four in flight: two for each core of the smallest usual machine.
+                self.roster.seats.push(Seat { limit: 4.0, ..Seat::default() });
             }
             let cold = self.roster.cold.cold;
             let seat = self.roster.seat(listing.searcher);
@@ -660,27 +609,22 @@
         let fits = |p: &&PartTaken| {
             let beside =
                 scan.parts.iter().filter(|o| o.shard % self.roster.cells == p.shard % self.roster.cells);
-            self.roster.has_room(p.shard, worth, beside.count())
+            self.roster.room(p.shard, worth, beside.count())
         };
         let room = scan.parts.iter().filter(fits).map(|p| p.weight).sum::<f64>();
-        if patience == Span::ZERO || worth <= 0.0 || room + SLACK < kind.floor {
+        if patience == Span::ZERO || (late && kind.late_credit <= 0.0) || room + SLACK < kind.floor {
             return host.bounce(id, self.door.pause());
         }
-        let wait = if kind.second_step { patience * 0.5 } else { patience };
+        // Of two steps, the first may take half of the time.
+        let first_wait = if kind.second_step { patience * 0.5 } else { patience };
         let parts = scan.parts.iter().map(Part::new).collect();
-        let open = Scan {
-            traffic_type: scan.traffic_type,
-            worth,
-            ends: now + patience,
-            parts,
-            first: 0,
-            first_whole: None,
-        };
-        self.scans.insert(id, open);
-        if kind.second_step {
-            self.timer(host, id, now + wait, false);
-        }
-        self.timer(host, id, now + patience, true);
+        let (traffic_type, ends) = (scan.traffic_type, now + patience);
+        self.scans.insert(id, Scan { traffic_type, worth, ends, parts, first: 0, first_whole: None });
+        self.later(host, first_wait, move |mixer, host| {
+            if mixer.scans.get(&id).is_some_and(|scan| scan.first_whole.is_none()) {
+                mixer.close(host, id);
+            }
+        });
         self.send_out(host, id);
     }
 
@@ -689,19 +633,21 @@
         self.budget.note_taken(host.now(), parts.len());
         let Some(scan) = self.scans.get_mut(&id) else { return };
         scan.parts.extend(parts.iter().map(Part::new));
+        let rest = scan.ends.since(host.now());
+        self.later(host, rest, move |mixer, host| mixer.close(host, id));
         self.send_out(host, id);
     }
 
     /// A relay ended.
     pub fn landed(&mut self, host: &mut dyn Host, relay: Ticket, how: Landing, took: Span) {
-        if let Some(then) = self.landings.take(relay) {
+        if let Some(then) = self.landings.try_remove(relay.0 as usize) {
             then(self, host, Landed { relay, how, took });
         }
     }
 
     /// A time asked for has come.
     pub fn woken(&mut self, host: &mut dyn Host, ticket: Ticket) {
-        if let Some(then) = self.wakes.take(ticket) {
+        if let Some(then) = self.wakes.try_remove(ticket.0 as usize) {
             then(self, host, ());
         }
     }
@@ -723,33 +669,33 @@
         }
     }
 
-    fn timer(&mut self, host: &mut dyn Host, id: ScanId, at: Moment, last: bool) {
-        let ticket = self.wakes.leave(move |mixer, host, ()| {
-            if mixer.scans.get(&id).is_some_and(|s| last || s.first_whole.is_none()) {
-                mixer.close(host, id);
-            }
-        });
-        host.wake(ticket, at);
+    fn later(
+        &mut self,
+        host: &mut dyn Host,
+        wait: Span,
+        then: impl FnOnce(&mut Self, &mut dyn Host) + 'static,
+    ) {
+        let ticket = self.wakes.insert(Box::new(move |mixer, host, ()| then(mixer, host)));
+        host.wake(Ticket(ticket as u32), host.now() + wait);
     }
 
+    /// All parts go out at once, heaviest first. Where a searcher is at its limit, light parts of a scan that
+    /// may be answered without them are skipped: against crowding by scans of very many parts, in any slowness.
+    /// Hurts when the limit is wrong: an answer is then less than it could have been.
     fn send_out(&mut self, host: &mut dyn Host, id: ScanId) {
         let Some(scan) = self.scans.get_mut(&id) else { return };
         let mut order: Vec<usize> = (scan.first..scan.parts.len()).collect();
         order.sort_by(|a, b| scan.parts[*b].weight.total_cmp(&scan.parts[*a].weight));
-        let floor = self.types[scan.traffic_type].floor;
-        // Halfway between the floor and all leaves some parts to be lost to other causes.
-        let mut spare = (1.0 - floor) / 2.0;
-        let (worth, count) = (scan.worth, order.len() as f64);
-        for part in order {
-            let Some(Part { shard, weight, .. }) = self.scans.get(&id).map(|s| &s.parts[part]) else {
-                return;
-            };
-            let (shard, weight) = (*shard, *weight);
-            if weight <= spare && !self.roster.has_room(shard, worth * weight * count, 1) {
-                spare -= weight;
-                self.scans.get_mut(&id).into_iter().for_each(|s| s.parts[part].lost = true);
+        // Halfway between the floor and all: the other half is for parts lost on the way.
+        let mut spare = (1.0 - self.types[scan.traffic_type].floor) / 2.0;
+        let worth = scan.worth * order.len() as f64;
+        for at in order {
+            let Some(part) = self.scans.get_mut(&id).map(|scan| &mut scan.parts[at]) else { return };
+            part.lost = part.weight <= spare && !self.roster.room(part.shard, worth * part.weight, 1);
+            if part.lost {
+                spare -= part.weight;
             } else {
-                self.relay_first(host, id, part);
+                self.relay_first(host, id, at);
             }
         }
         self.settle(host, id);
@@ -757,89 +703,89 @@
 
     /// A part's first relay. Where only fresh searchers hold the shard and all are at their cap, it waits
     /// for a quarter of a usual answer's time and asks again.
-    fn relay_first(&mut self, host: &mut dyn Host, id: ScanId, part: usize) {
-        let Some(scan) = self.scans.get_mut(&id) else { return };
-        match self.roster.place(host.now(), scan.parts[part].shard, &[]) {
-            Place::At(searcher) => self.relay(host, id, part, searcher),
-            Place::Nowhere => scan.parts[part].lost = true,
+    fn relay_first(&mut self, host: &mut dyn Host, id: ScanId, at: usize) {
+        let Some(scan) = self.scans.get_mut(&id).filter(|scan| at >= scan.first) else { return };
+        match self.roster.place(host.now(), scan.parts[at].shard, &[]) {
+            Place::At(searcher) => self.relay(host, id, at, searcher),
+            Place::Nowhere => scan.parts[at].lost = true,
             Place::Later => {
-                let ticket = self.wakes.leave(move |mixer, host, ()| {
-                    mixer.relay_first(host, id, part);
+                let wait = Span::of_micros(self.roster.typical as u64) * 0.25;
+                self.later(host, wait, move |mixer, host| {
+                    mixer.relay_first(host, id, at);
                     mixer.settle(host, id);
                 });
-                host.wake(ticket, host.now() + Span::of_micros(self.roster.typical as u64) * 0.25);
             }
         }
     }
 
-    fn relay(&mut self, host: &mut dyn Host, id: ScanId, part: usize, to: Searcher) {
+    fn relay(&mut self, host: &mut dyn Host, id: ScanId, at: usize, to: Searcher) {
         let now = host.now();
         let Some(scan) = self.scans.get_mut(&id) else { return };
         let quoted = self.types[scan.traffic_type].quoted;
-        let relay = self.landings.leave(move |mixer, host, landed| {
+        let part = &mut scan.parts[at];
+        let ran_before = part.may_have_run;
+        let relay = self.landings.insert(Box::new(move |mixer, host, landed: Landed| {
             mixer.roster.note_landed(host.now(), to, &landed, quoted);
             mixer.reached_or_not(host, to, landed.how);
-            mixer.relay_landed(host, id, part, now, landed);
-        });
-        self.parts_out += 1;
+            mixer.relay_landed(host, id, at, ran_before, landed.how);
+        }));
+        let relay = Ticket(relay as u32);
         self.roster.note_sent(now, to, relay);
-        let sent = &mut scan.parts[part];
-        sent.relays += 1;
-        sent.tried.push(to);
-        sent.out.push(relay);
-        sent.may_have_run.push(now);
-        host.relay(relay, id, part, to, scan.ends.since(now));
-    }
-
-    fn relay_landed(&mut self, host: &mut dyn Host, id: ScanId, at: usize, sent: Moment, landed: Landed) {
-        self.parts_out -= 1;
-        let Some(scan) = self.scans.get_mut(&id) else { return };
+        part.tried.push(to);
+        part.out = Some(relay);
+        part.may_have_run = ran_before.or(Some(now));
+        host.relay(relay, id, at, to, scan.ends.since(now));
+    }
+
+    fn relay_landed(
+        &mut self,
+        host: &mut dyn Host,
+        id: ScanId,
+        at: usize,
+        ran: Option<Moment>,
+        how: Landing,
+    ) {
+        let Some(scan) = self.scans.get_mut(&id).filter(|scan| at >= scan.first) else { return };
         let part = &mut scan.parts[at];
-        part.out.retain(|relay| *relay != landed.relay);
-        if landed.never_ran() {
-            let left = part.may_have_run.iter().position(|moment| *moment == sent);
-            left.map(|i| part.may_have_run.swap_remove(i));
-        }
-        if landed.how == Landing::Honoured {
-            part.honoured = true;
-            let others = std::mem::take(&mut part.out);
-            others.iter().filter(|_| self.may_call_off).for_each(|relay| host.call_off(*relay));
-        } else if part.out.is_empty() && !part.honoured && !self.relay_again(host, id, at) {
+        part.out = None;
+        if matches!(how, Landing::TurnedAway | Landing::Unreached | Landing::Unsent) {
+            part.may_have_run = ran;
+        }
+        part.honoured = how == Landing::Honoured;
+        if !part.honoured && !self.relay_again(host, id, at) {
             self.scans.get_mut(&id).into_iter().for_each(|scan| scan.parts[at].lost = true);
         }
         self.settle(host, id);
     }
 
-    /// One more relay of a part, to a replica it has not been to: at once after a failure, as a second copy
-    /// when the first is overdue. Guards against whatever loses or holds up single parts. Rules 2 and 6 bind
-    /// it. Hurts when all searchers are slow at once; then `overdue` grows with them and the budget ends it.
+    /// A part that failed goes at once to a replica it has not been to. Guards against whatever loses single
+    /// parts: errors, full rooms, dead or unreachable searchers. Rules 2 and 6 bind it. Hurts where all
+    /// searchers fail together; so it needs room under the limit as a scan of no credit would.
     fn relay_again(&mut self, host: &mut dyn Host, id: ScanId, at: usize) -> bool {
         let now = host.now();
         let Some(scan) = self.scans.get(&id) else { return false };
         let part = &scan.parts[at];
-        let harmless = match (self.types[scan.traffic_type].effect, part.may_have_run.iter().min()) {
+        let harmless = match (self.types[scan.traffic_type].effect, part.may_have_run) {
             (Effect::Redoable, _) | (_, None) => true,
-            (Effect::Labelled(window), Some(first)) => now.since(*first) + self.lead < window,
+            (Effect::Labelled(window), Some(first)) => now.since(first) + self.lead < window,
             (Effect::Irreversible, Some(_)) => false,
         };
         let in_time = scan.ends.since(now).as_f64() > self.roster.typical / 2.0;
-        let room = self.roster.has_room(part.shard, 0.0, 1);
-        let allowed = room && part.relays < self.relay_cap && (part.out.is_empty() || self.may_copy);
-        if !(harmless && in_time && allowed) {
-            return false;
-        }
+        let allowed = part.tried.len() < self.relay_cap && self.roster.room(part.shard, 0.0, 1);
         match self.roster.place(now, part.shard, &part.tried) {
-            Place::At(searcher) if self.budget.spend(now) => self.relay(host, id, at, searcher),
-            _ => return false,
+            Place::At(to) if harmless && in_time && allowed && self.budget.spend(now) => {
+                self.relay(host, id, at, to);
+                true
+            }
+            _ => false,
         }
-        true
     }
 
     /// Whether the scan can be ended: every part has an outcome, or enough are in to be whole. A scan that
     /// can no longer reach what may be answered is ended as well, so that its client knows at once.
     fn settle(&mut self, host: &mut dyn Host, id: ScanId) {
         let Some(scan) = self.scans.get(&id) else { return };
-        if scan.step().is_empty() {
+        if scan.step().is_empty() && scan.first_whole.is_some() {
             return;
         }
         let kind = &self.types[scan.traffic_type];
@@ -869,7 +815,7 @@
                 scan.first_whole = Some(whole);
                 self.scans.insert(id, scan);
             }
-        } else if kind.effect == Effect::Redoable || scan.parts.iter().all(|p| p.may_have_run.is_empty()) {
+        } else if kind.effect == Effect::Redoable || scan.parts.iter().all(|p| p.may_have_run.is_none()) {
             host.bounce(id, self.door.pause());
         } else {
             host.write_off(id);
@@ -878,7 +824,7 @@
 
     fn call_off_all(&self, host: &mut dyn Host, scan: &Scan) {
         if self.may_call_off {
-            scan.parts.iter().flat_map(|p| &p.out).for_each(|relay| host.call_off(*relay));
+            scan.parts.iter().filter_map(|p| p.out).for_each(|relay| host.call_off(relay));
         }
     }
 
@@ -904,18 +850,14 @@
         let at = host.now() + CHECK_EVERY;
         let seat = self.roster.seat(searcher);
         (seat.checking, seat.next_check) = (false, Some(at));
-        let ticket = self.wakes.leave(move |mixer, host, ()| {
+        self.later(host, CHECK_EVERY, move |mixer, host| {
             let seat = mixer.roster.seat(searcher);
-            if !seat.down || seat.next_check != Some(at) {
-                return;
-            }
-            if seat.ready {
-                mixer.check(host, searcher);
-            } else {
-                mixer.check_later(host, searcher);
+            match seat.down && seat.next_check == Some(at) {
+                true if seat.ready => mixer.check(host, searcher),
+                true => mixer.check_later(host, searcher),
+                false => {}
             }
         });
-        host.wake(ticket, at);
     }
 
     fn check(&mut self, host: &mut dyn Host, searcher: Searcher) {
