--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,7 +7,7 @@
 //! or at its one timer. Each step leaves a closure, and the step's result is handed to it.
 //!
 //! Beside the design stand six mechanisms:
-//! 1. silence and failure read as latency (`Seat::standing`, `Roster::note_landed`)
+//! 1. failures and parts in vain read as latency (`Roster::note_landed`)
 //! 2. a failed part goes to another replica, within a budget (`Mixer::relay_again`, `RelayBudget`)
 //! 3. a fresh searcher's cap, which grows with its answers (`ColdCare`)
 //! 4. a limit on what is in flight at each searcher; least credit is turned away first (`Door`, `Roster::room`)
@@ -169,8 +169,6 @@
     /// later one, or after a check interval.
     forsaken: Vec<Moment>,
     heard: Moment,
-    /// Since when it has owed an answer and given none.
-    owing_since: Option<Moment>,
     down: bool,
     checking: bool,
     check_due: bool,
@@ -190,17 +188,12 @@
         self.out.chunk_by(|a, b| a.1 == b.1).map(|call| call.len().div_ceil(per_call)).sum()
     }
 
-    /// The latency to choose by. Ordinarily the smoothed one. A searcher that owes an answer for longer than
-    /// `overdue` counts as slow as its silence is long: against hangs, long pauses, lost networks. What is
-    /// long unheard drifts to the average, as the unheard are, so it is tried again; halved over the design's
-    /// check interval. Hurts when a sound searcher was given only very heavy parts.
-    fn standing(&self, now: Moment, average: f64, overdue: f64) -> f64 {
+    /// The latency to choose by: the smoothed one. What is long unheard drifts to the average, as the unheard
+    /// are, so that a searcher once slow is tried again; halved over the design's check interval.
+    fn standing(&self, now: Moment, average: f64) -> f64 {
         let until = if self.out.is_empty() { self.heard } else { now };
-        let silence = self.owing_since.map_or(0.0, |since| until.since(since).as_f64());
-        let known = self.latency.unwrap_or(average);
-        let known = if silence > overdue { known.max(silence) } else { known };
         let unheard = now.since(until).as_f64() / CHECK_EVERY.as_f64();
-        average + (known - average) * (-unheard).exp2()
+        average + (self.latency.unwrap_or(average) - average) * (-unheard).exp2()
     }
 
     /// Smooths a latency in. A quarter: four or so answers tell a new state, one odd part does not.
@@ -236,9 +229,8 @@
     may_check: bool,
     cold: ColdCare,
     chance: Chance,
-    /// Smoothed time and spread of answered parts, over all searchers.
+    /// Smoothed time of answered parts, over all searchers.
     typical: f64,
-    spread: f64,
     /// The shortest that the smoothed time has been of late.
     shortest: f64,
 }
@@ -246,18 +238,7 @@
 impl Roster {
     pub fn new(seed: u64, cells: u32, width: u32, per_call: usize, may_check: bool, cold: ColdCare) -> Self {
         let (cells, chance) = (cells.max(1), Chance(seed));
-        Self {
-            seats: vec![],
-            cells,
-            width,
-            per_call,
-            may_check,
-            cold,
-            chance,
-            typical: 0.0,
-            spread: 0.0,
-            shortest: 0.0,
-        }
+        Self { seats: vec![], cells, width, per_call, may_check, cold, chance, typical: 0.0, shortest: 0.0 }
     }
 
     fn seat(&mut self, searcher: Searcher) -> &mut Seat {
@@ -274,14 +255,8 @@
         }
     }
 
-    /// When a part has been out for longer than parts mostly are: four spreads, as in TCP's timer.
-    fn overdue(&self) -> f64 {
-        self.typical + 4.0 * self.spread
-    }
-
     fn note_time(&mut self, sample: f64) {
         // A twentieth: the last twenty parts or so, some seconds of one mixer's scans.
-        self.spread += 0.05 * ((sample - self.typical).abs() - self.spread);
         self.typical += 0.05 * (sample - self.typical);
         // It may rise by half in some hundred answers, should the work itself have grown.
         self.shortest = (self.shortest * 1.0005).min(self.typical);
@@ -290,7 +265,7 @@
     /// The design's choice: least latency x (own parts out + 1), among replicas that are listed ready, not
     /// down, and not in `tried`. A down one gets a part only as the check it is due, or where nobody else is.
     fn place(&mut self, now: Moment, shard: u32, tried: &[Searcher]) -> Place {
-        let (average, overdue) = (self.average(), self.overdue());
+        let average = self.average();
         let work = Span::of_micros(average as u64);
         let count = self.seats.len();
         let first = self.chance.below(count.max(1));
@@ -312,7 +287,7 @@
                 full = true;
             } else {
                 let out = seat.calls_out(self.per_call) as f64;
-                let score = seat.standing(now, average, overdue) * (out + 1.0);
+                let score = seat.standing(now, average) * (out + 1.0);
                 if best.is_none_or(|(least, _)| score < least) {
                     best = Some((score, searcher));
                 }
@@ -342,7 +317,6 @@
         let (cold, fall) = (self.cold.cold, self.cold.fall);
         let seat = self.seat(searcher);
         seat.out.push((ticket, now));
-        seat.owing_since = seat.owing_since.or(Some(now));
         seat.checking |= seat.down;
         if seat.fresh.as_ref().is_some_and(|f| now.since(f.since) > cold + fall) {
             seat.fresh = None;
@@ -363,14 +337,8 @@
         let sent =
             seat.out.iter().position(|(ticket, _)| *ticket == relay).map_or(now, |i| seat.out.remove(i).1);
         seat.forsaken.retain(|at| now.since(*at) < CHECK_EVERY && !(how == Landing::Honoured && *at <= sent));
-        let owes = (!seat.out.is_empty()).then_some(now);
         match how {
-            Landing::Unsent => {
-                if seat.out.is_empty() {
-                    seat.owing_since = None;
-                }
-            }
-            Landing::Unreached => seat.owing_since = owes,
+            Landing::Unsent | Landing::Unreached => {}
             Landing::Silent | Landing::CalledOff => {
                 seat.forsaken.push(sent);
                 let known = seat.latency.unwrap_or(average);
@@ -380,7 +348,6 @@
                 seat.heard = now;
             }
             Landing::Honoured => {
-                seat.owing_since = owes;
                 seat.learn(now, took.as_f64(), shortest);
                 if let Some(fresh) = &mut seat.fresh {
                     fresh.answers += 1;
@@ -388,7 +355,6 @@
                 self.note_time(took.as_f64());
             }
             Landing::Erred | Landing::TurnedAway | Landing::Dropped => {
-                seat.owing_since = owes;
                 seat.learn(now, quoted.as_f64().max(took.as_f64()), shortest);
             }
         }
@@ -400,7 +366,7 @@
         if std::mem::take(&mut seat.down) {
             let since = seat.started.map_or(now, |at| if now.since(at) < CHECK_EVERY { at } else { now });
             seat.fresh = Some(Fresh { since, answers: 0, sent: VecDeque::new() });
-            (seat.latency, seat.owing_since) = (None, None);
+            seat.latency = None;
         }
         (seat.checking, seat.check_due) = (false, false);
     }
@@ -542,7 +508,6 @@
         };
         // The design's start: a tenth of the quoted time.
         (mixer.roster.typical, mixer.roster.shortest) = (least.as_f64() / 10.0, least.as_f64() / 10.0);
-        mixer.roster.spread = least.as_f64() / 20.0;
         mixer
     }
 
@@ -572,7 +537,7 @@
         for listing in listings {
             while self.roster.seats.len() <= listing.searcher.0 as usize {
                 // Four in flight: two for each core of the smallest usual machine.
-                self.roster.seats.push(Seat { limit: 4.0, ..Seat::default() });
+                self.roster.seats.push(Seat { limit: 8.0, ..Seat::default() });
             }
             let cold = self.roster.cold.cold;
             let seat = self.roster.seat(listing.searcher);
@@ -583,7 +548,7 @@
                     let since = seat.fresh.as_ref().map_or(started, |f| f.since.max(started));
                     let sent = seat.fresh.take().map_or(VecDeque::new(), |f| f.sent);
                     seat.fresh = Some(Fresh { since, answers: 0, sent });
-                    (seat.latency, seat.owing_since) = (None, None);
+                    seat.latency = None;
                     if seat.down {
                         self.check(host, listing.searcher);
                     }
