Size the in-flight limits for the whole fleet, and hold them nearer the shortest time

Cause: each of six mixers let four parts wait at every searcher, so a slowed fleet answered after the quoted time. Should hold for any fleet size; hurts a lone busy mixer until its limit has grown.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -197,13 +197,14 @@
     }
 
     /// Smooths a latency in. A quarter: four or so answers tell a new state, one odd part does not.
-    fn learn(&mut self, now: Moment, sample: f64, shortest: f64) {
+    fn learn(&mut self, now: Moment, sample: f64, shortest: f64, fleet: f64) {
         self.heard = now;
         self.latency = Some(self.latency.map_or(sample, |old| old + 0.25 * (sample - old)));
-        // Two and a half times the shortest is a queue of a part or two before each core.
-        let ratio = (2.5 * shortest / self.latency.unwrap_or(sample)).clamp(0.1, 1.0);
-        if ratio < 1.0 || self.out.len() as f64 > self.limit / 2.0 {
-            let aimed = self.limit * ratio + self.limit.sqrt();
+        // Past one and a half times the shortest a queue stands: 1.25 to 2 did nearly as well, 3.2 worse. All
+        // mixers' limits add up at the searcher, so each grows and starts with its part of the fleet.
+        let ratio = (1.5 * shortest / self.latency.unwrap_or(sample)).clamp(0.1, 1.0);
+        if ratio < 1.0 || self.out.len() as f64 > self.limit / 4.0 {
+            let aimed = self.limit * ratio + (3.0 * self.limit / fleet).sqrt();
             self.limit = (self.limit + 0.1 * (aimed - self.limit)).max(1.0);
         }
     }
@@ -332,7 +333,7 @@
     /// for a few parts.
     fn note_landed(&mut self, now: Moment, from: Searcher, landed: &Landed, quoted: Span) {
         let Landed { relay, how, took } = *landed;
-        let (average, shortest) = (self.average(), self.shortest);
+        let (average, shortest, fleet) = (self.average(), self.shortest, self.cold.fleet);
         let seat = self.seat(from);
         let sent =
             seat.out.iter().position(|(ticket, _)| *ticket == relay).map_or(now, |i| seat.out.remove(i).1);
@@ -343,19 +344,19 @@
                 seat.forsaken.push(sent);
                 let known = seat.latency.unwrap_or(average);
                 if took.as_f64() > known {
-                    seat.learn(now, took.as_f64(), shortest);
+                    seat.learn(now, took.as_f64(), shortest, fleet);
                 }
                 seat.heard = now;
             }
             Landing::Honoured => {
-                seat.learn(now, took.as_f64(), shortest);
+                seat.learn(now, took.as_f64(), shortest, fleet);
                 if let Some(fresh) = &mut seat.fresh {
                     fresh.answers += 1;
                 }
                 self.note_time(took.as_f64());
             }
             Landing::Erred | Landing::TurnedAway | Landing::Dropped => {
-                seat.learn(now, quoted.as_f64().max(took.as_f64()), shortest);
+                seat.learn(now, quoted.as_f64().max(took.as_f64()), shortest, fleet);
             }
         }
     }
@@ -536,8 +537,8 @@
         }
         for listing in listings {
             while self.roster.seats.len() <= listing.searcher.0 as usize {
-                // Four in flight: two for each core of the smallest usual machine.
-                self.roster.seats.push(Seat { limit: 8.0, ..Seat::default() });
+                // A dozen for all mixers together: some for each core of a usual machine.
+                self.roster.seats.push(Seat { limit: 12.0 / self.roster.cold.fleet, ..Seat::default() });
             }
             let cold = self.roster.cold.cold;
             let seat = self.roster.seat(listing.searcher);
