--- a/src/choice.rs
+++ b/src/choice.rs
@@ -256,6 +256,11 @@
         }
     }
 
+    /// What a part is taken to cost a searcher: the shortest usual time, which holds little queue.
+    fn work(&self) -> Span {
+        Span::of_micros(self.shortest as u64)
+    }
+
     fn note_time(&mut self, sample: f64) {
         // A twentieth: the last twenty parts or so, some seconds of one mixer's scans.
         self.typical += 0.05 * (sample - self.typical);
@@ -267,7 +272,7 @@
     /// down, and not in `tried`. A down one gets a part only as the check it is due, or where nobody else is.
     fn place(&mut self, now: Moment, shard: u32, tried: &[Searcher]) -> Place {
         let average = self.average();
-        let work = Span::of_micros(average as u64);
+        let work = self.work();
         let count = self.seats.len();
         let first = self.chance.below(count.max(1));
         let (mut best, mut full, mut last_hope) = (None::<(f64, Searcher)>, false, None);
@@ -304,17 +309,20 @@
 
     /// Whether the replicas of a shard together have room under their limits for so many parts, of which a
     /// scan of such worth may fill so much; where none is up, that is not for the door to say.
-    fn room(&self, shard: u32, worth: f64, parts: usize) -> bool {
+    fn room(&self, now: Moment, shard: u32, worth: f64, parts: usize) -> bool {
         let holds = |s: &&Seat| (s.cell + self.cells - shard % self.cells) % self.cells < self.width;
         let share = 0.5 + 0.5 * worth.min(1.0);
-        let free =
-            |s: &Seat| (s.limit * share - s.busy() as f64).max(if s.busy() == 0 { 1.0 } else { 0.0 }).ceil();
+        let free = |s: &Seat| match &s.fresh {
+            Some(fresh) if !self.cold.has_room(fresh, s.out.len(), self.work(), now) => 0.0,
+            _ if s.busy() == 0 => (s.limit * share).max(1.0),
+            _ => (s.limit * share - s.busy() as f64).max(0.0).ceil(),
+        };
         let up = self.seats.iter().filter(|s| s.ready && !s.down).filter(holds).map(free);
         up.reduce(|a, b| a + b).is_none_or(|room| room >= parts as f64)
     }
 
     fn note_sent(&mut self, now: Moment, searcher: Searcher, ticket: Ticket) {
-        let work = Span::of_micros(self.average() as u64);
+        let work = self.work();
         let (cold, fall) = (self.cold.cold, self.cold.fall);
         let seat = self.seat(searcher);
         seat.out.push((ticket, now));
@@ -575,7 +583,7 @@
         let fits = |p: &&PartTaken| {
             let beside =
                 scan.parts.iter().filter(|o| o.shard % self.roster.cells == p.shard % self.roster.cells);
-            self.roster.room(p.shard, worth, beside.count())
+            self.roster.room(now, p.shard, worth, beside.count())
         };
         let room = scan.parts.iter().filter(fits).map(|p| p.weight).sum::<f64>();
         if patience == Span::ZERO || (late && kind.late_credit <= 0.0) || room + SLACK < kind.floor {
@@ -649,6 +657,7 @@
     /// may be answered without them are skipped: against crowding by scans of very many parts, in any slowness.
     /// Hurts when the limit is wrong: an answer is then less than it could have been.
     fn send_out(&mut self, host: &mut dyn Host, id: ScanId) {
+        let now = host.now();
         let Some(scan) = self.scans.get_mut(&id) else { return };
         let mut order: Vec<usize> = (scan.first..scan.parts.len()).collect();
         order.sort_by(|a, b| scan.parts[*b].weight.total_cmp(&scan.parts[*a].weight));
@@ -657,7 +666,7 @@
         let worth = scan.worth * order.len() as f64;
         for at in order {
             let Some(part) = self.scans.get_mut(&id).map(|scan| &mut scan.parts[at]) else { return };
-            part.lost = part.weight <= spare && !self.roster.room(part.shard, worth * part.weight, 1);
+            part.lost = part.weight <= spare && !self.roster.room(now, part.shard, worth * part.weight, 1);
             if part.lost {
                 spare -= part.weight;
             } else {
@@ -737,7 +746,7 @@
             (Effect::Irreversible, Some(_)) => false,
         };
         let in_time = scan.ends.since(now).as_f64() > self.roster.typical / 2.0;
-        let allowed = part.tried.len() < self.relay_cap && self.roster.room(part.shard, 0.0, 1);
+        let allowed = part.tried.len() < self.relay_cap && self.roster.room(now, part.shard, 0.0, 1);
         match self.roster.place(now, part.shard, &part.tried) {
             Place::At(to) if harmless && in_time && allowed && self.budget.spend(now) => {
                 self.relay(host, id, at, to);
