--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -171,7 +171,7 @@
         let books = Books { number, ..Books::default() };
         let mut instance = Self { mixer, books, arriving: None };
         if readings.says("discovery", "on_request") {
-            instance.with(now, reply, |mixer, host| mixer.watch(host));
+            instance.with(now, reply, |mixer, host| mixer.watch(host, false));
         }
         Ok(instance)
     }
@@ -224,7 +224,7 @@
 
     pub fn listed(&mut self, how: u8, entries: Option<&Vec<Entry>>, now: Moment, reply: &mut Reply) {
         if how == 2 {
-            return self.with(now, reply, |mixer, host| mixer.list_failed(host));
+            return self.with(now, reply, |mixer, host| mixer.watch(host, true));
         }
         let entries = entries.map_or(&[][..], Vec::as_slice);
         let listing = |entry: &Entry| Listing {
--- a/crates/simhost/src/readings.rs
+++ b/crates/simhost/src/readings.rs
@@ -1,8 +1,8 @@
 //! What an instance is told at its start: `path=value` lines, and the parts of the mixer made from them.
 
 use crate::wire::Malformed;
-use fernglade::choice::{ColdCare, Door, Effect, Mixer, RelayBudget, Roster, TrafficType};
-use fernglade::Span;
+use fernglade::choice::{ColdCare, Door, Mixer, RelayBudget, Roster};
+use fernglade::{Effect, Span, TrafficType};
 use std::collections::BTreeMap;
 
 pub struct Readings<'a>(BTreeMap<&'a str, &'a str>);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,7 +14,9 @@
 //! 5. light parts are skipped where their searchers are at that limit (`Mixer::send_out`)
 //! 6. an early end for a scan that can no longer be answered (`Mixer::settle`)
 
-use crate::{Host, Landing, Listing, Moment, PartTaken, ScanId, ScanTaken, Searcher, Span, Ticket};
+use crate::{
+    Effect, Host, Landing, Listing, Moment, PartTaken, ScanId, ScanTaken, Searcher, Span, Ticket, TrafficType,
+};
 use slab::Slab;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -41,48 +43,20 @@
     }
 }
 
-/// What may happen to a part that is sent twice.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Effect {
-    Redoable,
-    /// A repeat is known by its label for so long after the first relay that may have run.
-    Labelled(Span),
-    Irreversible,
-}
-
-/// One sort of scan, as the deployment states it.
-#[derive(Clone, Debug)]
-pub struct TrafficType {
-    pub quoted: Span,
-    /// The quoted time grows by this many times the scan's own work.
-    pub stretch: f64,
-    pub abandon: Span,
-    pub credit: f64,
-    pub late_credit: f64,
-    pub effect: Effect,
-    /// The least share of the parts' weight that may be answered from.
-    pub floor: f64,
-    /// The share that makes an answer whole.
-    pub whole_from: f64,
-    pub second_step: bool,
-}
-
 /// Rule 6: relays beyond each part's first, in any window, number at most a few and a share of what was
 /// taken in it. Where no budget is stated our own stands, so that trouble never doubles the load.
 pub struct RelayBudget {
     few: f64,
     share: f64,
     window: Span,
-    /// Scans and parts taken, and further relays made; both emptied as they leave the window.
-    taken: VecDeque<(Moment, usize)>,
-    taken_sum: usize,
+    /// When scans and parts were taken and further relays made; emptied as they leave the window.
+    taken: VecDeque<Moment>,
     further: VecDeque<Moment>,
 }
 
 impl RelayBudget {
     pub fn stated(few: f64, share: f64, window: Span) -> Self {
-        let (taken, further) = (VecDeque::new(), VecDeque::new());
-        Self { few, share, window, taken, taken_sum: 0, further }
+        Self { few, share, window, taken: VecDeque::new(), further: VecDeque::new() }
     }
 
     /// A fifth of the parts covers the loss of one searcher in five; ten seconds outlast a pause.
@@ -91,28 +65,21 @@
     }
 
     fn note_taken(&mut self, now: Moment, count: usize) {
-        self.taken.push_back((now, count));
-        self.taken_sum += count;
+        self.taken.extend(std::iter::repeat_n(now, count));
         self.forget(now);
     }
 
-    /// Strictly inside the window for what was taken, and a little past it for what was relayed.
+    /// What was taken counts strictly inside the window, what was relayed at its very edge as well.
     fn forget(&mut self, now: Moment) {
-        while self.taken.front().is_some_and(|&(at, _)| now.since(at) >= self.window) {
-            self.taken_sum -= self.taken.pop_front().map_or(0, |(_, count)| count);
-        }
-        while self.further.front().is_some_and(|&at| now.since(at) > self.window) {
-            self.further.pop_front();
-        }
+        let (taken, further) = (&mut self.taken, &mut self.further);
+        taken.drain(..taken.partition_point(|at| now.since(*at) >= self.window));
+        further.drain(..further.partition_point(|at| now.since(*at) > self.window));
     }
 
     fn spend(&mut self, now: Moment) -> bool {
         self.forget(now);
-        let allowed = self.few + self.share * self.taken_sum as f64;
-        let room = (self.further.len() + 1) as f64 <= allowed;
-        if room {
-            self.further.push_back(now);
-        }
+        let room = (self.further.len() + 1) as f64 <= self.few + self.share * self.taken.len() as f64;
+        self.further.extend(room.then_some(now));
         room
     }
 }
@@ -135,13 +102,14 @@
     /// connect. Hurts when a searcher was only out of reach: it is then spared for a while. Its cap in flight
     /// starts at one and grows by one with each answer, and what it is sent in a window stays within this
     /// mixer's share of the rule's figure. Its true size is never told: one core is the least there is.
-    fn has_room(&self, fresh: &Fresh, out: usize, work: Span, now: Moment) -> bool {
+    fn has_room(&self, seat: &Seat, work: Span, now: Moment) -> bool {
+        let Some(fresh) = &seat.fresh else { return true };
         let age = now.since(fresh.since).less(self.fall).as_f64() / self.cold.as_f64().max(1.0);
         let grown = self.from + (1.0 - self.from) * age.min(1.0);
         let allowed = self.multiple * grown * self.fall.as_f64() / self.fleet;
         let recent = fresh.sent.iter().filter(|(at, _)| now.since(*at) <= self.fall);
         let sum: f64 = recent.map(|(_, work)| work.as_f64()).sum();
-        out <= fresh.answers && sum + work.as_f64() <= allowed.max(work.as_f64())
+        seat.out.len() <= fresh.answers && sum + work.as_f64() <= allowed.max(work.as_f64())
     }
 }
 
@@ -171,7 +139,7 @@
     heard: Moment,
     down: bool,
     checking: bool,
-    check_due: bool,
+    /// When it is to be checked; none while a check is out or, without probes, due.
     next_check: Option<Moment>,
 }
 
@@ -181,11 +149,9 @@
         self.out.len() + self.forsaken.len()
     }
 
+    /// Own parts out, by call where parts that left together share one.
     fn calls_out(&self, per_call: usize) -> usize {
-        if per_call <= 1 {
-            return self.out.len();
-        }
-        self.out.chunk_by(|a, b| a.1 == b.1).map(|call| call.len().div_ceil(per_call)).sum()
+        self.out.chunk_by(|a, b| a.1 == b.1).map(|call| call.len().div_ceil(per_call.max(1))).sum()
     }
 
     /// The latency to choose by: the smoothed one. What is long unheard drifts to the average, as the unheard
@@ -248,12 +214,8 @@
 
     fn average(&self) -> f64 {
         let known = self.seats.iter().filter(|s| s.ready && !s.down).filter_map(|s| s.latency);
-        let (sum, count) = known.fold((0.0, 0), |(sum, count), l| (sum + l, count + 1));
-        if count == 0 {
-            self.typical
-        } else {
-            sum / f64::from(count)
-        }
+        let (sum, count) = known.fold((0.0, 0.0), |(sum, count), l| (sum + l, count + 1.0));
+        (count > 0.0).then(|| sum / count).unwrap_or(self.typical)
     }
 
     /// What a part is taken to cost a searcher: the shortest usual time, which holds little queue.
@@ -271,53 +233,49 @@
     /// The design's choice: least latency x (own parts out + 1), among replicas that are listed ready, not
     /// down, and not in `tried`. A down one gets a part only as the check it is due, or where nobody else is.
     fn place(&mut self, now: Moment, shard: u32, tried: &[Searcher]) -> Place {
-        let average = self.average();
-        let work = self.work();
-        let count = self.seats.len();
+        let (average, work, count) = (self.average(), self.work(), self.seats.len());
         let first = self.chance.below(count.max(1));
         let (mut best, mut full, mut last_hope) = (None::<(f64, Searcher)>, false, None);
         for at in (0..count).map(|i| (first + i) % count) {
-            let seat = &self.seats[at];
-            let searcher = Searcher(at as u32);
-            let step = (seat.cell + self.cells - shard % self.cells) % self.cells;
-            if !seat.ready || step >= self.width || tried.contains(&searcher) {
+            let (seat, searcher) = (&self.seats[at], Searcher(at as u32));
+            if !seat.ready || !self.holds(seat, shard) || tried.contains(&searcher) {
                 continue;
             }
-            let room = |f: &Fresh| self.cold.has_room(f, seat.out.len(), work, now);
             if seat.down {
-                if seat.check_due && !seat.checking {
+                if !seat.checking && seat.next_check.is_none() {
                     return Place::At(searcher);
                 }
                 last_hope = last_hope.or((!seat.checking).then_some(searcher));
-            } else if !seat.fresh.as_ref().is_none_or(room) {
+            } else if !self.cold.has_room(seat, work, now) {
                 full = true;
             } else {
-                let out = seat.calls_out(self.per_call) as f64;
-                let score = seat.standing(now, average) * (out + 1.0);
+                let score = seat.standing(now, average) * (seat.calls_out(self.per_call) + 1) as f64;
                 if best.is_none_or(|(least, _)| score < least) {
                     best = Some((score, searcher));
                 }
             }
         }
-        match (best, full, last_hope) {
-            (Some((_, searcher)), _, _) => Place::At(searcher),
-            (None, true, _) => Place::Later,
-            (None, false, Some(searcher)) => Place::At(searcher),
-            _ => Place::Nowhere,
+        match best.map(|(_, searcher)| searcher).or(last_hope.filter(|_| !full)) {
+            Some(searcher) => Place::At(searcher),
+            None if full => Place::Later,
+            None => Place::Nowhere,
         }
     }
 
+    fn holds(&self, seat: &Seat, shard: u32) -> bool {
+        (seat.cell + self.cells - shard % self.cells) % self.cells < self.width
+    }
+
     /// Whether the replicas of a shard together have room under their limits for so many parts, of which a
     /// scan of such worth may fill so much; where none is up, that is not for the door to say.
     fn room(&self, now: Moment, shard: u32, worth: f64, parts: usize) -> bool {
-        let holds = |s: &&Seat| (s.cell + self.cells - shard % self.cells) % self.cells < self.width;
         let share = 0.5 + 0.5 * worth.min(1.0);
-        let free = |s: &Seat| match &s.fresh {
-            Some(fresh) if !self.cold.has_room(fresh, s.out.len(), self.work(), now) => 0.0,
-            _ if s.busy() == 0 => (s.limit * share).max(1.0),
-            _ => (s.limit * share - s.busy() as f64).max(0.0).ceil(),
+        let free = |s: &Seat| match s.busy() {
+            _ if !self.cold.has_room(s, self.work(), now) => 0.0,
+            0 => (s.limit * share).max(1.0),
+            busy => (s.limit * share - busy as f64).max(0.0).ceil(),
         };
-        let up = self.seats.iter().filter(|s| s.ready && !s.down).filter(holds).map(free);
+        let up = self.seats.iter().filter(|s| s.ready && !s.down && self.holds(s, shard)).map(free);
         up.reduce(|a, b| a + b).is_none_or(|room| room >= parts as f64)
     }
 
@@ -327,9 +285,7 @@
         let seat = self.seat(searcher);
         seat.out.push((ticket, now));
         seat.checking |= seat.down;
-        if seat.fresh.as_ref().is_some_and(|f| now.since(f.since) > cold + fall) {
-            seat.fresh = None;
-        }
+        seat.fresh = seat.fresh.take().filter(|fresh| now.since(fresh.since) <= cold + fall);
         if let Some(fresh) = &mut seat.fresh {
             fresh.sent.retain(|(at, _)| now.since(*at) <= fall);
             fresh.sent.push_back((now, work));
@@ -350,17 +306,14 @@
             Landing::Unsent | Landing::Unreached => {}
             Landing::Silent | Landing::CalledOff => {
                 seat.forsaken.push(sent);
-                let known = seat.latency.unwrap_or(average);
-                if took.as_f64() > known {
+                seat.heard = now;
+                if took.as_f64() > seat.latency.unwrap_or(average) {
                     seat.learn(now, took.as_f64(), shortest, fleet);
                 }
-                seat.heard = now;
             }
             Landing::Honoured => {
                 seat.learn(now, took.as_f64(), shortest, fleet);
-                if let Some(fresh) = &mut seat.fresh {
-                    fresh.answers += 1;
-                }
+                seat.fresh.iter_mut().for_each(|fresh| fresh.answers += 1);
                 self.note_time(took.as_f64());
             }
             Landing::Erred | Landing::TurnedAway | Landing::Dropped => {
@@ -377,7 +330,7 @@
             seat.fresh = Some(Fresh { since, answers: 0, sent: VecDeque::new() });
             seat.latency = None;
         }
-        (seat.checking, seat.check_due) = (false, false);
+        (seat.checking, seat.next_check) = (false, None);
     }
 }
 
@@ -389,21 +342,16 @@
     best: f64,
     /// Each customer's scans a second at this mixer, and how far it is ahead of them; one line a customer.
     customers: Vec<(f64, f64, Moment)>,
-    longest_pause: Span,
+    /// How long a client that is turned away may be told to stay away.
+    pause: Span,
     /// The longest that a client gave a try, for each traffic type.
-    longest_left: Vec<Span>,
+    longest_left: BTreeMap<usize, Span>,
 }
 
 impl Door {
-    pub fn new(
-        fleet: usize,
-        shares: &[f64],
-        over_share_credit: f64,
-        by_work: bool,
-        longest_pause: Span,
-    ) -> Self {
+    pub fn new(fleet: usize, shares: &[f64], over_share_credit: f64, by_work: bool, pause: Span) -> Self {
         let customers = shares.iter().map(|s| (s / fleet.max(1) as f64, 0.0, Moment::default())).collect();
-        Self { over_share_credit, by_work, best: 0.0, customers, longest_pause, longest_left: Vec::new() }
+        Self { over_share_credit, by_work, best: 0.0, customers, pause, longest_left: BTreeMap::new() }
     }
 
     fn over_share(&mut self, now: Moment, customer: usize) -> bool {
@@ -417,16 +365,9 @@
     /// How long ago the client first asked, as far as its time left tells: a repeat with less left than its
     /// sort has at most has only the rest of the abandon time.
     fn elapsed(&mut self, traffic_type: usize, repeat: bool, left: Span, abandon: Span) -> Span {
-        if self.longest_left.len() <= traffic_type {
-            self.longest_left.resize(traffic_type + 1, Span::ZERO);
-        }
-        let longest = &mut self.longest_left[traffic_type];
+        let longest = self.longest_left.entry(traffic_type).or_default();
         *longest = left.max(*longest);
-        if repeat && left < *longest {
-            abandon.less(left)
-        } else {
-            Span::ZERO
-        }
+        (repeat && left < *longest).then(|| abandon.less(left)).unwrap_or_default()
     }
 
     /// A scan's credit for its work, against the best met: per part where credit does not grow with work.
@@ -435,10 +376,6 @@
         self.best = self.best.max(worth);
         worth / self.best.max(f64::MIN_POSITIVE)
     }
-
-    fn pause(&self) -> Span {
-        self.longest_pause
-    }
 }
 
 /// One part of an open scan.
@@ -526,15 +463,11 @@
         self
     }
 
-    /// Keeps the list watched where it has to be asked for.
-    pub fn watch(&mut self, host: &mut dyn Host) {
-        host.watch_list();
-    }
-
-    /// The watch broke or could not be had: ask again, after a pause that lets a busy list recover.
-    pub fn list_failed(&mut self, host: &mut dyn Host) {
-        let pause = Span::of_millis(500 + self.roster.chance.below(500) as u64);
-        self.later(host, pause, |_, host| host.watch_list());
+    /// Keeps the list watched where it has to be asked for. Where the watch broke or could not be had it asks
+    /// again, after a pause that lets a busy list recover.
+    pub fn watch(&mut self, host: &mut dyn Host, again: bool) {
+        let pause = if again { 500 + self.roster.chance.below(500) as u64 } else { 0 };
+        self.later(host, Span::of_millis(pause), |_, host| host.watch_list());
     }
 
     /// News of searchers; with `whole` it is the full list, and who is not in it is gone.
@@ -587,7 +520,7 @@
         };
         let room = scan.parts.iter().filter(fits).map(|p| p.weight).sum::<f64>();
         if patience == Span::ZERO || (late && kind.late_credit <= 0.0) || room + SLACK < kind.floor {
-            return host.bounce(id, self.door.pause());
+            return host.bounce(id, self.door.pause);
         }
         // Of two steps, the first may take half of the time.
         let first_wait = if kind.second_step { patience * 0.5 } else { patience };
@@ -791,7 +724,7 @@
                 self.scans.insert(id, scan);
             }
         } else if kind.effect == Effect::Redoable || scan.parts.iter().all(|p| p.may_have_run.is_none()) {
-            host.bounce(id, self.door.pause());
+            host.bounce(id, self.door.pause);
         } else {
             host.write_off(id);
         }
@@ -838,7 +771,7 @@
     fn check(&mut self, host: &mut dyn Host, searcher: Searcher) {
         let may_check = self.roster.may_check;
         let seat = self.roster.seat(searcher);
-        (seat.checking, seat.check_due) = (may_check, !may_check);
+        (seat.checking, seat.next_check) = (may_check, None);
         if may_check {
             host.check(searcher);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -141,6 +141,32 @@
     pub parts: Vec<PartTaken>,
 }
 
+/// What may happen to a part that is sent twice.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    Redoable,
+    /// A repeat is known by its label for so long after the first relay that may have run.
+    Labelled(Span),
+    Irreversible,
+}
+
+/// One sort of scan, as the deployment states it.
+#[derive(Clone, Debug)]
+pub struct TrafficType {
+    pub quoted: Span,
+    /// The quoted time grows by this many times the scan's own work.
+    pub stretch: f64,
+    pub abandon: Span,
+    pub credit: f64,
+    pub late_credit: f64,
+    pub effect: Effect,
+    /// The least share of the parts' weight that may be answered from.
+    pub floor: f64,
+    /// The share that makes an answer whole.
+    pub whole_from: f64,
+    pub second_step: bool,
+}
+
 /// What a front does for the module. Every call takes effect at once, at [`Host::now`].
 pub trait Host {
     fn now(&self) -> Moment;
