--- a/src/choice.rs
+++ b/src/choice.rs
@@ -179,14 +179,6 @@
 /// How often a searcher that is down is checked: the design page's figure.
 const CHECK_EVERY: Span = Span::of_millis(5_000);
 
-/// Where a part may go now.
-enum Place {
-    At(Searcher),
-    /// Only fresh searchers hold it, and they have all they may have for the moment.
-    Later,
-    Nowhere,
-}
-
 /// The searchers and what this mixer has seen of them. Grows with searchers ever listed, not with scans.
 pub struct Roster {
     seats: Vec<Seat>,
@@ -215,7 +207,10 @@
     fn average(&self) -> f64 {
         let known = self.seats.iter().filter(|s| s.ready && !s.down).filter_map(|s| s.latency);
         let (sum, count) = known.fold((0.0, 0.0), |(sum, count), l| (sum + l, count + 1.0));
-        (count > 0.0).then(|| sum / count).unwrap_or(self.typical)
+        match count > 0.0 {
+            true => sum / count,
+            false => self.typical,
+        }
     }
 
     /// What a part is taken to cost a searcher: the shortest usual time, which holds little queue.
@@ -232,7 +227,7 @@
 
     /// The design's choice: least latency x (own parts out + 1), among replicas that are listed ready, not
     /// down, and not in `tried`. A down one gets a part only as the check it is due, or where nobody else is.
-    fn place(&mut self, now: Moment, shard: u32, tried: &[Searcher]) -> Place {
+    fn place(&mut self, now: Moment, shard: u32, tried: &[Searcher]) -> Option<Searcher> {
         let (average, work, count) = (self.average(), self.work(), self.seats.len());
         let first = self.chance.below(count.max(1));
         let (mut best, mut full, mut last_hope) = (None::<(f64, Searcher)>, false, None);
@@ -243,7 +238,7 @@
             }
             if seat.down {
                 if !seat.checking && seat.next_check.is_none() {
-                    return Place::At(searcher);
+                    return Some(searcher);
                 }
                 last_hope = last_hope.or((!seat.checking).then_some(searcher));
             } else if !self.cold.has_room(seat, work, now) {
@@ -255,11 +250,7 @@
                 }
             }
         }
-        match best.map(|(_, searcher)| searcher).or(last_hope.filter(|_| !full)) {
-            Some(searcher) => Place::At(searcher),
-            None if full => Place::Later,
-            None => Place::Nowhere,
-        }
+        best.map(|(_, searcher)| searcher).or(last_hope.filter(|_| !full))
     }
 
     fn holds(&self, seat: &Seat, shard: u32) -> bool {
@@ -299,8 +290,8 @@
         let Landed { relay, how, took } = *landed;
         let (average, shortest, fleet) = (self.average(), self.shortest, self.cold.fleet);
         let seat = self.seat(from);
-        let sent =
-            seat.out.iter().position(|(ticket, _)| *ticket == relay).map_or(now, |i| seat.out.remove(i).1);
+        let sent = now - took;
+        seat.out.retain(|(ticket, _)| *ticket != relay);
         seat.forsaken.retain(|at| now.since(*at) < CHECK_EVERY && !(how == Landing::Honoured && *at <= sent));
         match how {
             Landing::Unsent | Landing::Unreached => {}
@@ -367,7 +358,10 @@
     fn elapsed(&mut self, traffic_type: usize, repeat: bool, left: Span, abandon: Span) -> Span {
         let longest = self.longest_left.entry(traffic_type).or_default();
         *longest = left.max(*longest);
-        (repeat && left < *longest).then(|| abandon.less(left)).unwrap_or_default()
+        match repeat && left < *longest {
+            true => abandon.less(left),
+            false => Span::ZERO,
+        }
     }
 
     /// A scan's credit for its work, against the best met: per part where credit does not grow with work.
@@ -599,33 +593,16 @@
         let worth = scan.worth * order.len() as f64;
         for at in order {
             let Some(part) = self.scans.get_mut(&id).map(|scan| &mut scan.parts[at]) else { return };
-            part.lost = part.weight <= spare && !self.roster.room(now, part.shard, worth * part.weight, 1);
-            if part.lost {
-                spare -= part.weight;
-            } else {
-                self.relay_first(host, id, at);
+            let skip = part.weight <= spare && !self.roster.room(now, part.shard, worth * part.weight, 1);
+            spare -= if skip { part.weight } else { 0.0 };
+            match self.roster.place(now, part.shard, &part.tried).filter(|_| !skip) {
+                Some(to) => self.relay(host, id, at, to),
+                None => part.lost = true,
             }
         }
         self.settle(host, id);
     }
 
-    /// A part's first relay. Where only fresh searchers hold the shard and all are at their cap, it waits
-    /// for a quarter of a usual answer's time and asks again.
-    fn relay_first(&mut self, host: &mut dyn Host, id: ScanId, at: usize) {
-        let Some(scan) = self.scans.get_mut(&id).filter(|scan| at >= scan.first) else { return };
-        match self.roster.place(host.now(), scan.parts[at].shard, &[]) {
-            Place::At(searcher) => self.relay(host, id, at, searcher),
-            Place::Nowhere => scan.parts[at].lost = true,
-            Place::Later => {
-                let wait = Span::of_micros(self.roster.typical as u64) * 0.25;
-                self.later(host, wait, move |mixer, host| {
-                    mixer.relay_first(host, id, at);
-                    mixer.settle(host, id);
-                });
-            }
-        }
-    }
-
     fn relay(&mut self, host: &mut dyn Host, id: ScanId, at: usize, to: Searcher) {
         let now = host.now();
         let Some(scan) = self.scans.get_mut(&id) else { return };
@@ -635,43 +612,32 @@
         let relay = self.landings.insert(Box::new(move |mixer, host, landed: Landed| {
             mixer.roster.note_landed(host.now(), to, &landed, quoted);
             mixer.reached_or_not(host, to, landed.how);
-            mixer.relay_landed(host, id, at, ran_before, landed.how);
+            let open = mixer.scans.get_mut(&id).filter(|scan| at >= scan.first);
+            let Some(part) = open.map(|scan| &mut scan.parts[at]) else { return };
+            (part.out, part.honoured) = (None, landed.how == Landing::Honoured);
+            if matches!(landed.how, Landing::TurnedAway | Landing::Unreached | Landing::Unsent) {
+                part.may_have_run = ran_before;
+            }
+            part.lost = !part.honoured;
+            if part.lost {
+                mixer.relay_again(host, id, at);
+            }
+            mixer.settle(host, id);
         }));
         let relay = Ticket(relay as u32);
         self.roster.note_sent(now, to, relay);
         part.tried.push(to);
-        part.out = Some(relay);
+        (part.out, part.lost) = (Some(relay), false);
         part.may_have_run = ran_before.or(Some(now));
         host.relay(relay, id, at, to, scan.ends.since(now));
     }
 
-    fn relay_landed(
-        &mut self,
-        host: &mut dyn Host,
-        id: ScanId,
-        at: usize,
-        ran: Option<Moment>,
-        how: Landing,
-    ) {
-        let Some(scan) = self.scans.get_mut(&id).filter(|scan| at >= scan.first) else { return };
-        let part = &mut scan.parts[at];
-        part.out = None;
-        if matches!(how, Landing::TurnedAway | Landing::Unreached | Landing::Unsent) {
-            part.may_have_run = ran;
-        }
-        part.honoured = how == Landing::Honoured;
-        if !part.honoured && !self.relay_again(host, id, at) {
-            self.scans.get_mut(&id).into_iter().for_each(|scan| scan.parts[at].lost = true);
-        }
-        self.settle(host, id);
-    }
-
     /// A part that failed goes at once to a replica it has not been to. Guards against whatever loses single
     /// parts: errors, full rooms, dead or unreachable searchers. Rules 2 and 6 bind it. Hurts where all
     /// searchers fail together; so it needs room under the limit as a scan of no credit would.
-    fn relay_again(&mut self, host: &mut dyn Host, id: ScanId, at: usize) -> bool {
+    fn relay_again(&mut self, host: &mut dyn Host, id: ScanId, at: usize) {
         let now = host.now();
-        let Some(scan) = self.scans.get(&id) else { return false };
+        let Some(scan) = self.scans.get(&id) else { return };
         let part = &scan.parts[at];
         let harmless = match (self.types[scan.traffic_type].effect, part.may_have_run) {
             (Effect::Redoable, _) | (_, None) => true,
@@ -680,12 +646,11 @@
         };
         let in_time = scan.ends.since(now).as_f64() > self.roster.typical / 2.0;
         let allowed = part.tried.len() < self.relay_cap && self.roster.room(now, part.shard, 0.0, 1);
-        match self.roster.place(now, part.shard, &part.tried) {
-            Place::At(to) if harmless && in_time && allowed && self.budget.spend(now) => {
+        if harmless && in_time && allowed {
+            let place = self.roster.place(now, part.shard, &part.tried);
+            if let Some(to) = place.filter(|_| self.budget.spend(now)) {
                 self.relay(host, id, at, to);
-                true
             }
-            _ => false,
         }
     }
 
