--- /dev/null
+++ b/crates/simhost/tests/wire.rs
@@ -0,0 +1,140 @@
+//! The process as the bench meets it: frames in, frames out, and one plain line on what is malformed.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+use test_case::test_case;
+
+const SETTINGS: &str = "services.count=1\nservices.0.aim=2000000\nservices.0.give_up=4000000\n\
+services.0.repeat=pure\nfamily_info.cells=2\nfamily_info.width=1\nfamily_info.floor_by_class=1.0\n\
+family_info.complete_from=1.0\nlimits.attempts_cap=3\ntick=5000\nfleet_size=2\ndiscovery=on_request\nnovel.key=x";
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let digits: Vec<u8> = hex.bytes().filter(u8::is_ascii_hexdigit).collect();
+    let byte = |pair: &[u8]| u8::from_str_radix(std::str::from_utf8(pair).unwrap(), 16).unwrap();
+    digits.chunks(2).map(byte).collect()
+}
+
+fn record(code: u8, fields: &[u8]) -> Vec<u8> {
+    [&[code][..], &(fields.len() as u32).to_be_bytes(), fields].concat()
+}
+
+fn batch(clock: u64, records: &[Vec<u8>]) -> Vec<u8> {
+    let body = records.concat();
+    let header =
+        [&clock.to_be_bytes()[..], &(body.len() as u32).to_be_bytes(), &(records.len() as u32).to_be_bytes()];
+    [header.concat(), body].concat()
+}
+
+fn power_on(settings: &str) -> Vec<u8> {
+    let fields = [&7u64.to_be_bytes()[..], &(settings.len() as u32).to_be_bytes(), settings.as_bytes()];
+    record(16, &fields.concat())
+}
+
+fn about(instance: u16) -> Vec<u8> {
+    record(27, &instance.to_be_bytes())
+}
+
+/// The page's own list of two searchers, of cells 0 and 0, and its cached news of it.
+fn page_list() -> Vec<Vec<u8>> {
+    let list = bytes(
+        "0000 00000002 0000 3f800000 00 00 0000 03124a07 0000000000000000 \
+         0000 3fc00000 00 00 0000 2c9011f2 00000000005d1420",
+    );
+    vec![record(26, &list), about(3), record(17, &bytes("03 0000000000000029 0000"))]
+}
+
+fn query(corr: u64, shard: f32) -> Vec<u8> {
+    let fields = [
+        &corr.to_be_bytes()[..],
+        &[0; 12],
+        &4_000_000u32.to_be_bytes(),
+        &[0; 4],
+        &1f32.to_be_bytes(),
+        &shard.to_be_bytes(),
+        &1f32.to_be_bytes(),
+        &[0; 2],
+    ];
+    record(18, &fields.concat())
+}
+
+fn run(input: &[u8]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fernglade-simhost"));
+    let piped = command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    let mut child = piped.spawn().unwrap();
+    // A process that has found a fault may be gone before all is written.
+    let _ = child.stdin.take().unwrap().write_all(input);
+    child.wait_with_output().unwrap()
+}
+
+#[test]
+fn the_pages_empty_batch_gets_the_pages_empty_reply() {
+    let out = run(&bytes("0000000000805c5a 00000000 00000000"));
+    assert_eq!(out.stdout, bytes("00000000 00000000"));
+    assert!(out.status.success());
+}
+
+/// A reply's records: code and fields.
+fn records(reply: &[u8]) -> Vec<(u8, Vec<u8>)> {
+    let mut rest = &reply[8..8 + u32::from_be_bytes(reply[4..8].try_into().unwrap()) as usize];
+    let mut found = Vec::new();
+    while !rest.is_empty() {
+        let length = u32::from_be_bytes(rest[1..5].try_into().unwrap()) as usize;
+        found.push((rest[0], rest[5..5 + length].to_vec()));
+        rest = &rest[5 + length..];
+    }
+    found
+}
+
+#[test]
+fn a_scan_is_sent_and_its_result_answers_it() {
+    let start = [vec![about(3), power_on(SETTINGS)], page_list()].concat();
+    let ask = [about(3), query(41, -1.0), query(42, 0.0)];
+    let result = [&42u64.to_be_bytes()[..], &bytes("0000 03124a07 00 00004844 01 00")].concat();
+    let other = [&42u64.to_be_bytes()[..], &bytes("0000 2c9011f2 00 00004844 01 00")].concat();
+    let first = batch(9_000_000, &start);
+    let input = [&first[..], &batch(9_100_000, &ask)].concat();
+    let sent = run(&input).stdout;
+    let skip = 8 + u32::from_be_bytes(sent[4..8].try_into().unwrap()) as usize;
+    let pass_on = records(&sent[skip..]).into_iter().find(|(code, _)| *code == 16).unwrap().1;
+    assert_eq!(&pass_on[..8], &42u64.to_be_bytes());
+    assert_eq!(&pass_on[12..], &1_985_000u32.to_be_bytes());
+    let result = if pass_on[8..12] == bytes("03124a07")[..] { result } else { other };
+    let input = [input, batch(9_200_000, &[about(3), record(20, &result)])].concat();
+    let out = run(&input);
+    assert!(out.status.success());
+    let answer = [&41u64.to_be_bytes()[..], &[1]].concat();
+    assert!(out.stdout.ends_with(&record(28, &answer)));
+}
+
+#[test]
+fn a_killed_instance_starts_again_empty_in_the_same_batch() {
+    let start = [vec![about(3), power_on(SETTINGS)], page_list()].concat();
+    let again = [vec![about(3), record(25, &[]), power_on(SETTINGS)], page_list()].concat();
+    let gone = record(21, &41u64.to_be_bytes());
+    let input = [
+        batch(9_000_000, &start),
+        batch(9_100_000, &[about(3), query(41, -1.0), query(42, 0.0)]),
+        batch(9_200_000, &[again, vec![gone]].concat()),
+    ];
+    let out = run(&input.concat());
+    assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+}
+
+#[test_case(&bytes("0000000000805c5a 0000"), "batch header"; "header cut short")]
+#[test_case(&bytes("0000000000805c5a ffffffff 00000001 1b"), "4294967295 bytes announced"; "length beyond the input")]
+#[test_case(&batch(5, &[record(99, &[])]), "unknown event code 99"; "unknown code")]
+#[test_case(&batch(5, &[record(22, &[0; 4])]), "before any About"; "no instance selected")]
+#[test_case(&batch(5, &[about(1), record(22, &[0; 4])]), "not running"; "instance never started")]
+#[test_case(&batch(5, &[about(1), power_on("tick")]), "without a value"; "settings line without a value")]
+#[test_case(&batch(5, &[about(1), power_on("fleet_size=many")]), "fleet_size: not a number"; "settings not a number")]
+#[test_case(&batch(5, &[about(1), power_on("services.count=99999999999")]), "too many"; "settings count too large")]
+#[test_case(&batch(5, &[record(26, &[0, 0, 255, 255, 255, 255])]), "Manifest"; "list count that does not fit")]
+#[test_case(&batch(5, &[about(1), power_on(SETTINGS), record(17, &[9; 11])]), "unknown kind 9"; "unknown kind of news")]
+#[test_case(&bytes("0000000000000005 00000008 00000001 1b 00000002 0003 ff"), "after the last record"; "bytes left over")]
+fn what_is_malformed_ends_the_process_with_one_plain_line(input: &[u8], says: &str) {
+    let out = run(input);
+    assert_eq!(out.status.code(), Some(1));
+    let line = String::from_utf8(out.stderr).unwrap();
+    assert!(line.contains(says), "{line}");
+    assert_eq!(line.lines().count(), 1);
+}
--- /dev/null
+++ b/tests/host/mod.rs
@@ -0,0 +1,183 @@
+//! One tiny fake host, and a mixer of three searchers that hold every shard.
+
+use fernglade::choice::{ColdCare, Door, Mixer, RelayBudget, Roster};
+use fernglade::{
+    Effect, Host, Landing, Listing, Moment, PartTaken, ScanId, ScanTaken, Searcher, Span, Ticket, TrafficType,
+};
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ending {
+    Whole,
+    Partial,
+    FirstStep,
+    Bounced,
+    WrittenOff,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Relay {
+    pub ticket: Ticket,
+    pub scan: ScanId,
+    pub part: usize,
+    pub to: u32,
+    pub at: Moment,
+    pub patience: Span,
+    pub landed: bool,
+}
+
+pub struct Fake {
+    pub now: Moment,
+    pub relays: Vec<Relay>,
+    pub called_off: Vec<Ticket>,
+    pub endings: Vec<(ScanId, Ending)>,
+    pub checks: Vec<u32>,
+    pub watches: usize,
+    wakes: Vec<(Moment, Ticket)>,
+}
+
+impl Host for Fake {
+    fn now(&self) -> Moment {
+        self.now
+    }
+    fn relay(&mut self, ticket: Ticket, scan: ScanId, part: usize, to: Searcher, patience: Span) {
+        assert!(self.ending(scan).is_none(), "rule 1: a part sent after the final answer");
+        self.relays.push(Relay { ticket, scan, part, to: to.0, at: self.now, patience, landed: false });
+    }
+    fn call_off(&mut self, relay: Ticket) {
+        self.called_off.push(relay);
+    }
+    fn answer(&mut self, scan: ScanId, whole: bool, last: bool) {
+        let ending = if whole { Ending::Whole } else { Ending::Partial };
+        self.end(scan, if last { ending } else { Ending::FirstStep });
+    }
+    fn bounce(&mut self, scan: ScanId, _pause: Span) {
+        self.end(scan, Ending::Bounced);
+    }
+    fn write_off(&mut self, scan: ScanId) {
+        self.end(scan, Ending::WrittenOff);
+    }
+    fn wake(&mut self, ticket: Ticket, at: Moment) {
+        self.wakes.push((at, ticket));
+    }
+    fn check(&mut self, searcher: Searcher) {
+        self.checks.push(searcher.0);
+    }
+    fn watch_list(&mut self) {
+        self.watches += 1;
+    }
+}
+
+impl Fake {
+    fn end(&mut self, scan: ScanId, ending: Ending) {
+        assert!(self.ending(scan).is_none(), "rule 1: a second final answer");
+        self.endings.push((scan, ending));
+    }
+    pub fn ending(&self, scan: ScanId) -> Option<Ending> {
+        let last = |(id, ending): &&(ScanId, Ending)| *id == scan && *ending != Ending::FirstStep;
+        self.endings.iter().find(last).map(|(_, ending)| *ending)
+    }
+}
+
+pub struct Story {
+    pub mixer: Mixer,
+    pub host: Fake,
+    scans: u32,
+}
+
+pub fn whole_only() -> TrafficType {
+    TrafficType {
+        quoted: Span::of_millis(2000),
+        stretch: 0.0,
+        abandon: Span::of_millis(4000),
+        credit: 1.0,
+        late_credit: 0.1,
+        effect: Effect::Redoable,
+        floor: 1.0,
+        whole_from: 1.0,
+        second_step: false,
+    }
+}
+
+pub fn story(kind: TrafficType) -> Story {
+    story_with(kind, RelayBudget::unstated(), true)
+}
+
+pub fn story_with(kind: TrafficType, budget: RelayBudget, may_check: bool) -> Story {
+    let cold = ColdCare::new(2, 0.2, Span::of_millis(18_000), 2.0, Span::of_millis(2_000));
+    let roster = Roster::new(7, 1, 1, 1, may_check, cold);
+    let door = Door::new(2, &[1000.0], 0.1, true, Span::of_millis(500));
+    let mixer = Mixer::new(vec![kind], roster, budget, door, Span::of_millis(5)).allowing(3, true);
+    let now = Moment::at_micros(100_000_000);
+    let (relays, called_off, endings, checks, wakes) = (vec![], vec![], vec![], vec![], vec![]);
+    let host = Fake { now, relays, called_off, endings, checks, watches: 0, wakes };
+    let mut story = Story { mixer, host, scans: 0 };
+    story.list(true, &[(0, true), (1, true), (2, true)], None);
+    story
+}
+
+impl Story {
+    pub fn list(&mut self, whole: bool, searchers: &[(u32, bool)], started: Option<Moment>) {
+        let line =
+            |&(id, ready): &(u32, bool)| Listing { searcher: Searcher(id), cell: 0, zone: 0, ready, started };
+        let lines: Vec<Listing> = searchers.iter().map(line).collect();
+        self.mixer.listed(&mut self.host, whole, &lines);
+    }
+
+    /// A scan of so many parts of one weight.
+    pub fn scan(&mut self, parts: u32) -> ScanId {
+        self.scan_weighing(&vec![1.0 / f64::from(parts); parts as usize], 4000, false)
+    }
+
+    pub fn scan_weighing(&mut self, weights: &[f64], left: u64, repeat: bool) -> ScanId {
+        let id = ScanId { slot: self.scans, turn: 1 };
+        self.scans += 1;
+        let taken =
+            |(shard, weight): (usize, &f64)| PartTaken { shard: shard as u32, weight: *weight, work: None };
+        let parts = weights.iter().enumerate().map(taken).collect();
+        let left = Span::of_millis(left);
+        let scan = ScanTaken { traffic_type: 0, customer: 0, left, work: None, repeat, parts };
+        self.mixer.taken(&mut self.host, id, scan);
+        id
+    }
+
+    /// Relays of a scan that have not landed.
+    pub fn out(&self, scan: ScanId) -> Vec<Relay> {
+        self.host.relays.iter().filter(|r| r.scan == scan && !r.landed).copied().collect()
+    }
+
+    pub fn land(&mut self, relay: Relay, how: Landing) {
+        self.host
+            .relays
+            .iter_mut()
+            .filter(|r| !r.landed && r.ticket == relay.ticket)
+            .for_each(|r| r.landed = true);
+        let took = self.host.now.since(relay.at);
+        self.mixer.landed(&mut self.host, relay.ticket, how, took);
+    }
+
+    pub fn land_all(&mut self, scan: ScanId, how: Landing) {
+        for relay in self.out(scan) {
+            self.land(relay, how);
+        }
+    }
+
+    /// Lets time go by, and the timers ring.
+    pub fn pass(&mut self, millis: u64) {
+        let until = self.host.now + Span::of_millis(millis);
+        while let Some(due) = self.host.wakes.iter().filter(|(at, _)| *at <= until).min().copied() {
+            self.host.wakes.retain(|wake| *wake != due);
+            self.host.now = due.0.max(self.host.now);
+            self.mixer.woken(&mut self.host, due.1);
+        }
+        self.host.now = until;
+    }
+
+    /// Scans that all go well, so that every searcher is known to answer in so many milliseconds.
+    pub fn settle_in(&mut self, millis: u64) {
+        for _ in 0..20 {
+            let id = self.scan(3);
+            self.pass(millis);
+            self.land_all(id, Landing::Honoured);
+        }
+    }
+}
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,324 @@
+//! What the mixer does when things go wrong, one story for each failure met.
+
+mod host;
+
+use fernglade::choice::RelayBudget;
+use fernglade::{Effect, Landing, PartTaken, Span, TrafficType};
+use host::{story, story_with, whole_only, Ending, Story};
+use test_case::test_case;
+
+fn partial() -> TrafficType {
+    TrafficType { floor: 0.5, ..whole_only() }
+}
+
+fn labelled() -> TrafficType {
+    TrafficType { effect: Effect::Labelled(Span::of_millis(800)), ..whole_only() }
+}
+
+fn irreversible() -> TrafficType {
+    TrafficType { effect: Effect::Irreversible, ..whole_only() }
+}
+
+#[test]
+fn all_parts_go_out_at_once_and_the_answer_is_whole_when_all_are_in() {
+    let mut story = story(whole_only());
+    let id = story.scan(3);
+    let mut to: Vec<u32> = story.out(id).iter().map(|relay| relay.to).collect();
+    to.sort_unstable();
+    assert_eq!(to, [0, 1, 2], "parts out count: each went elsewhere");
+    story.pass(100);
+    for relay in story.out(id) {
+        assert_eq!(story.host.ending(id), None);
+        story.land(relay, Landing::Honoured);
+    }
+    assert_eq!(story.host.ending(id), Some(Ending::Whole));
+}
+
+#[test]
+fn the_quicker_replica_gets_the_part() {
+    let mut story = story(whole_only());
+    for _ in 0..8 {
+        let id = story.scan(3);
+        story.pass(100);
+        story.out(id).into_iter().filter(|r| r.to == 1).for_each(|r| story.land(r, Landing::Honoured));
+        story.pass(400);
+        story.land_all(id, Landing::Honoured);
+    }
+    let id = story.scan(1);
+    assert_eq!(story.out(id)[0].to, 1);
+}
+
+#[test_case(partial(), 3, Some(Ending::Partial); "three of four in where half will do")]
+#[test_case(partial(), 1, Some(Ending::Bounced); "rule 5: under the floor nothing is given")]
+#[test_case(whole_only(), 3, Some(Ending::Bounced); "no partial answer where the traffic type takes none")]
+#[test_case(irreversible(), 3, Some(Ending::WrittenOff); "rule 2: what may have run is not bounced")]
+#[test_case(labelled(), 3, Some(Ending::WrittenOff); "a label is no proof that it never ran")]
+fn at_its_timer_a_scan_ends_with_what_is_in(kind: TrafficType, honoured: usize, ending: Option<Ending>) {
+    let mut story = story(kind);
+    let id = story.scan(4);
+    story.pass(200);
+    for relay in story.out(id).into_iter().take(honoured) {
+        assert_eq!(relay.patience, Span::of_millis(1985));
+        story.land(relay, Landing::Honoured);
+    }
+    story.pass(1750);
+    assert_eq!(story.host.ending(id), None, "the timer is a little before the quoted time");
+    story.pass(45);
+    assert_eq!(story.host.ending(id), ending);
+    assert_eq!(story.host.called_off.len(), 4 - honoured);
+    story.land_all(id, Landing::CalledOff);
+}
+
+#[test_case(whole_only(), Landing::Erred, true; "redoable goes on after an error")]
+#[test_case(whole_only(), Landing::TurnedAway, true; "redoable goes on after a full room")]
+#[test_case(labelled(), Landing::Dropped, true; "labelled goes on inside its window")]
+#[test_case(irreversible(), Landing::Erred, false; "irreversible may have run")]
+#[test_case(irreversible(), Landing::TurnedAway, true; "irreversible proved not to have run")]
+#[test_case(irreversible(), Landing::Unreached, true; "irreversible without a connection")]
+fn a_failed_part_goes_to_another_replica(kind: TrafficType, how: Landing, again: bool) {
+    let mut story = story(kind);
+    let id = story.scan(1);
+    let first = story.out(id)[0];
+    story.pass(50);
+    story.land(first, how);
+    let out = story.out(id);
+    assert_eq!(out.len(), usize::from(again));
+    if again {
+        assert_ne!(out[0].to, first.to);
+        story.land(out[0], Landing::Honoured);
+    }
+    let given_up = Some(Ending::WrittenOff);
+    assert_eq!(story.host.ending(id), if again { Some(Ending::Whole) } else { given_up });
+}
+
+#[test]
+fn a_labelled_part_is_not_resent_past_its_window() {
+    let mut story = story(labelled());
+    let id = story.scan(1);
+    story.pass(790);
+    story.land_all(id, Landing::Erred);
+    assert_eq!(story.host.ending(id), Some(Ending::WrittenOff));
+}
+
+#[test]
+fn a_part_has_only_so_many_relays() {
+    let mut story = story(whole_only());
+    let id = story.scan(1);
+    for _ in 0..3 {
+        story.pass(5);
+        story.land_all(id, Landing::Erred);
+    }
+    assert_eq!(story.host.relays.len(), 3);
+    assert_eq!(story.host.ending(id), Some(Ending::Bounced), "told at once, not at the timer");
+}
+
+#[test]
+fn further_relays_stay_within_the_stated_budget() {
+    let budget = RelayBudget::stated(1.0, 0.25, Span::of_millis(10_000));
+    let mut story = story_with(whole_only(), budget, true);
+    for taken in 1..=40usize {
+        let id = story.scan(1);
+        story.pass(50);
+        story.out(id).into_iter().for_each(|relay| story.land(relay, Landing::Erred));
+        story.land_all(id, Landing::Honoured);
+        let scans: std::collections::BTreeSet<_> = story.host.relays.iter().map(|r| r.scan).collect();
+        let further = story.host.relays.len() - scans.len();
+        assert!(further as f64 <= 1.0 + 0.25 * (2 * taken) as f64, "{further} after {taken}");
+    }
+}
+
+#[test]
+fn a_searcher_that_cannot_be_reached_is_skipped_until_a_check_passes() {
+    let mut story = story(whole_only());
+    story.settle_in(100);
+    let id = story.scan(3);
+    let lost = story.out(id)[0];
+    story.land(lost, Landing::Unreached);
+    story.pass(100);
+    story.land_all(id, Landing::Honoured);
+    for _ in 0..10 {
+        let id = story.scan(3);
+        assert!(story.out(id).iter().all(|relay| relay.to != lost.to));
+        story.pass(100);
+        story.land_all(id, Landing::Honoured);
+    }
+    assert!(story.host.checks.is_empty());
+    story.pass(5000);
+    assert_eq!(story.host.checks, [lost.to]);
+    story.mixer.checked(&mut story.host, fernglade::Searcher(lost.to), false);
+    story.pass(5000);
+    assert_eq!(story.host.checks, [lost.to, lost.to]);
+    story.mixer.checked(&mut story.host, fernglade::Searcher(lost.to), true);
+    assert!(sent_to(&mut story, lost.to, 12) >= 1);
+}
+
+#[test]
+fn without_probes_one_live_part_is_the_check() {
+    let mut story = story_with(whole_only(), RelayBudget::unstated(), false);
+    story.settle_in(100);
+    let id = story.scan(3);
+    let lost = story.out(id)[0];
+    story.land(lost, Landing::Unreached);
+    story.pass(100);
+    story.land_all(id, Landing::Honoured);
+    story.pass(5000);
+    let id = story.scan(3);
+    assert_eq!(story.out(id).iter().filter(|relay| relay.to == lost.to).count(), 1);
+    assert!(story.host.checks.is_empty());
+}
+
+/// How many relays go to a searcher while so many scans come, each answered.
+fn sent_to(story: &mut Story, searcher: u32, scans: usize) -> usize {
+    let before = story.host.relays.len();
+    for _ in 0..scans {
+        let id = story.scan(3);
+        story.pass(100);
+        story.land_all(id, Landing::Honoured);
+    }
+    story.host.relays[before..].iter().filter(|relay| relay.to == searcher).count()
+}
+
+#[test_case(&[(0, false)], false; "draining")]
+#[test_case(&[(1, true), (2, true)], true; "gone from the whole list")]
+fn nothing_new_goes_to_a_searcher_that_drains_or_is_gone(news: &[(u32, bool)], whole: bool) {
+    let mut story = story(whole_only());
+    story.settle_in(100);
+    story.list(whole, news, None);
+    assert_eq!(sent_to(&mut story, 0, 20), 0);
+}
+
+#[test]
+fn a_fresh_searcher_gets_little_at_first_and_more_with_its_answers() {
+    let mut story = story(whole_only());
+    story.settle_in(100);
+    story.list(false, &[(0, true)], Some(story.host.now));
+    let id = story.scan(3);
+    assert!(story.out(id).iter().filter(|relay| relay.to == 0).count() <= 1, "one in flight");
+    story.pass(100);
+    story.land_all(id, Landing::Honoured);
+    // This mixer's half of 2 x 0.2 of one core for two seconds is 400 ms of work, at 100 ms and more a part.
+    assert!((1..=4).contains(&sent_to(&mut story, 0, 18)));
+    story.pass(40_000);
+    assert!(sent_to(&mut story, 0, 18) >= 12);
+}
+
+/// A release that replaces every machine: the door must not take capped fresh searchers for room.
+#[test]
+fn where_all_searchers_are_fresh_and_at_their_cap_the_scan_is_bounced_at_once() {
+    let mut story = story(whole_only());
+    story.settle_in(100);
+    let start = Some(story.host.now);
+    story.list(true, &[(3, true), (4, true)], start);
+    let first = story.scan(2);
+    assert_eq!(story.out(first).len(), 2);
+    let second = story.scan(1);
+    assert_eq!(story.host.ending(second), Some(Ending::Bounced));
+    assert!(story.out(second).is_empty());
+}
+
+#[test]
+fn a_searcher_that_fails_fast_draws_no_parts_by_it() {
+    let mut story = story(whole_only());
+    story.settle_in(100);
+    let before = story.host.relays.len();
+    for _ in 0..20 {
+        let id = story.scan(2);
+        story.pass(5);
+        for relay in story.out(id) {
+            if relay.to == 0 {
+                story.land(relay, Landing::Erred);
+            }
+        }
+        story.pass(95);
+        story.land_all(id, Landing::Honoured);
+        assert_eq!(story.host.ending(id), Some(Ending::Whole));
+    }
+    assert!(story.host.relays[before..].iter().filter(|relay| relay.to == 0).count() <= 6);
+}
+
+/// Work that was called off may run on: it fills the searcher as much as work that is waited for.
+#[test]
+fn a_silent_fleet_shuts_the_door_though_parts_were_called_off() {
+    let mut story = story(whole_only());
+    story.settle_in(100);
+    let mut bounced = 0;
+    for _ in 0..12 {
+        let id = story.scan(6);
+        bounced += usize::from(story.out(id).is_empty());
+        story.pass(1990);
+        story.land_all(id, Landing::CalledOff);
+    }
+    assert!(bounced >= 4, "{bounced}");
+    story.pass(6000);
+    let id = story.scan(3);
+    assert_eq!(story.out(id).len(), 3, "tried again after a while");
+}
+
+#[test]
+fn light_parts_are_skipped_where_the_searchers_are_at_their_limit() {
+    let mut story = story(partial());
+    story.settle_in(100);
+    for _ in 0..14 {
+        story.scan(3);
+    }
+    story.pass(10);
+    let weights: Vec<f64> = (0..20).map(|i| if i < 4 { 0.2 } else { 0.0125 }).collect();
+    let id = story.scan_weighing(&weights, 4000, false);
+    let out = story.out(id);
+    assert!(out.len() < 20, "some were skipped, or the scan was turned away whole");
+    assert!(out.is_empty() || out.iter().filter(|relay| relay.part < 4).count() == 4, "the heavy ones go");
+}
+
+#[test]
+fn a_repeat_past_its_quoted_time_is_worth_nothing_where_late_answers_are() {
+    let mut story = story(TrafficType { late_credit: 0.0, ..whole_only() });
+    story.settle_in(100);
+    let late = story.scan_weighing(&[1.0], 1500, true);
+    assert_eq!(story.host.ending(late), Some(Ending::Bounced));
+    let fresh = story.scan_weighing(&[1.0], 1500, false);
+    assert_eq!(story.out(fresh).len(), 1, "an impatient client is no repeat");
+}
+
+#[test]
+fn a_shard_that_nobody_holds_ends_the_scan_at_once() {
+    let mut story = story(whole_only());
+    story.list(true, &[], None);
+    let id = story.scan(2);
+    assert_eq!(story.host.ending(id), Some(Ending::Bounced));
+    let none = story.scan(0);
+    assert_eq!(story.host.ending(none), Some(Ending::Bounced), "and so does a scan without parts");
+}
+
+#[test]
+fn a_second_step_waits_for_its_own_parts() {
+    let mut story = story(TrafficType { second_step: true, ..whole_only() });
+    let id = story.scan(2);
+    story.pass(100);
+    story.land_all(id, Landing::Honoured);
+    assert_eq!(story.host.endings, [(id, Ending::FirstStep)]);
+    let parts = [PartTaken { shard: 0, weight: 1.0, work: None }];
+    story.mixer.more_parts(&mut story.host, id, &parts);
+    story.pass(100);
+    story.land_all(id, Landing::Honoured);
+    assert_eq!(story.host.ending(id), Some(Ending::Whole));
+}
+
+#[test]
+fn a_client_that_left_is_owed_nothing_and_late_results_do_no_harm() {
+    let mut story = story(whole_only());
+    let id = story.scan(2);
+    story.mixer.client_left(&mut story.host, id);
+    story.pass(3000);
+    story.land_all(id, Landing::Erred);
+    assert_eq!(story.host.ending(id), None);
+    assert_eq!(story.host.relays.len(), 2);
+}
+
+#[test]
+fn a_broken_watch_is_asked_for_again_after_a_pause() {
+    let mut story = story(whole_only());
+    story.mixer.watch(&mut story.host, true);
+    assert_eq!(story.host.watches, 0);
+    story.pass(1000);
+    assert_eq!(story.host.watches, 1);
+}
