--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -100,16 +100,32 @@
     assert_eq!(story.host.ending(id), Some(Ending::WrittenOff));
 }
 
-#[test]
-fn a_part_has_only_so_many_relays() {
-    let mut story = story(whole_only());
+#[test_case(whole_only(), Landing::Erred, Ending::Bounced; "redoable")]
+#[test_case(irreversible(), Landing::TurnedAway, Ending::Bounced; "irreversible, proved not to have run")]
+#[test_case(labelled(), Landing::Erred, Ending::WrittenOff; "labelled, and it may have run")]
+fn a_part_has_only_so_many_relays_and_its_scan_ends_at_once(kind: TrafficType, how: Landing, ending: Ending) {
+    let mut story = story(kind);
+    story.list(true, &[(0, true), (1, true), (2, true), (3, true)], None);
     let id = story.scan(1);
     for _ in 0..3 {
         story.pass(5);
-        story.land_all(id, Landing::Erred);
+        story.land_all(id, how);
     }
     assert_eq!(story.host.relays.len(), 3);
-    assert_eq!(story.host.ending(id), Some(Ending::Bounced), "told at once, not at the timer");
+    assert_eq!(story.host.ending(id), Some(ending));
+}
+
+#[test]
+fn a_scan_that_can_no_longer_be_whole_does_not_wait_for_its_other_parts() {
+    let mut story = story(whole_only());
+    let id = story.scan(2);
+    for _ in 0..3 {
+        story.pass(5);
+        let failing = story.out(id).into_iter().find(|relay| relay.part == 0);
+        failing.into_iter().for_each(|relay| story.land(relay, Landing::Erred));
+    }
+    assert_eq!(story.host.ending(id), Some(Ending::Bounced));
+    assert_eq!(story.host.called_off.len(), 1);
 }
 
 #[test]
@@ -214,6 +230,11 @@
     let second = story.scan(1);
     assert_eq!(story.host.ending(second), Some(Ending::Bounced));
     assert!(story.out(second).is_empty());
+    // An old searcher that is over its limit does not open the door either.
+    story.list(false, &[(0, true)], None);
+    let filling: Vec<_> = (0..12).map(|_| story.scan(1)).collect();
+    assert!(filling.iter().any(|id| story.out(*id).iter().any(|relay| relay.to == 0)));
+    assert_eq!(story.host.ending(filling[11]), Some(Ending::Bounced));
 }
 
 #[test]
@@ -257,16 +278,13 @@
 #[test]
 fn light_parts_are_skipped_where_the_searchers_are_at_their_limit() {
     let mut story = story(partial());
-    story.settle_in(100);
-    for _ in 0..14 {
-        story.scan(3);
-    }
-    story.pass(10);
-    let weights: Vec<f64> = (0..20).map(|i| if i < 4 { 0.2 } else { 0.0125 }).collect();
-    let id = story.scan_weighing(&weights, 4000, false);
-    let out = story.out(id);
-    assert!(out.len() < 20, "some were skipped, or the scan was turned away whole");
-    assert!(out.is_empty() || out.iter().filter(|relay| relay.part < 4).count() == 4, "the heavy ones go");
+    let weights = [0.35, 0.35, 0.075, 0.075, 0.075, 0.075];
+    let scans: Vec<_> = (0..4).map(|_| story.scan_weighing(&weights, 4000, false)).collect();
+    let parts = |id| story.out(id).iter().map(|relay| relay.part).collect::<Vec<_>>();
+    assert_eq!(parts(scans[0]), [0, 1, 2, 3, 4, 5]);
+    let spared = |id: &&_| parts(**id).starts_with(&[0, 1]) && parts(**id).len() < 6;
+    assert!(scans.iter().any(|id| spared(&id)), "the heavy ones go, some light ones are spared");
+    assert!(scans.iter().any(|id| parts(*id).is_empty()), "in the end the door is shut");
 }
 
 #[test]
