Full rooms and forsaken work shut the door, for a check interval by the clock

Told from overload by the struck searchers alone refusing within 1 ms. A story also showed that the forsaken were only forgotten at the next result, which a shut door never brings. Should hold for any searcher that hangs or drowns; hurts one that had a short burst of full rooms, for five seconds.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -133,8 +133,8 @@
     limit: f64,
     /// Relays out, with the time they left; emptied as they land.
     out: Vec<(Ticket, Moment)>,
-    /// When relays left that nobody waits for any more, but that may run on there; emptied by an answer to a
-    /// later one, or after a check interval.
+    /// When relays left that nobody waits for any more but that may run on there, or that found its room full;
+    /// emptied by an answer to a later one, or after a check interval.
     forsaken: Vec<Moment>,
     heard: Moment,
     down: bool,
@@ -145,8 +145,9 @@
 
 impl Seat {
     /// Work of ours that it has or may have.
-    fn busy(&self) -> usize {
-        self.out.len() + self.forsaken.len()
+    fn busy(&self, now: Moment) -> f64 {
+        let forsaken = self.forsaken.iter().filter(|at| now.since(**at) < CHECK_EVERY);
+        (self.out.len() + forsaken.count()) as f64
     }
 
     /// Own parts out, by call where parts that left together share one.
@@ -261,10 +262,9 @@
     /// scan of such worth may fill so much; where none is up, that is not for the door to say.
     fn room(&self, now: Moment, shard: u32, worth: f64, parts: usize) -> bool {
         let share = 0.5 + 0.5 * worth.min(1.0);
-        let free = |s: &Seat| match s.busy() {
-            _ if !self.cold.has_room(s, self.work(), now) => 0.0,
-            0 => (s.limit * share).max(1.0),
-            busy => (s.limit * share - busy as f64).max(0.0).ceil(),
+        let free = |s: &Seat| match self.cold.has_room(s, self.work(), now) {
+            true => (s.limit * share - s.busy(now)).max(0.0).ceil(),
+            false => 0.0,
         };
         let up = self.seats.iter().filter(|s| s.ready && !s.down && self.holds(s, shard)).map(free);
         up.reduce(|a, b| a + b).is_none_or(|room| room >= parts as f64)
@@ -293,10 +293,12 @@
         let sent = now - took;
         seat.out.retain(|(ticket, _)| *ticket != relay);
         seat.forsaken.retain(|at| now.since(*at) < CHECK_EVERY && !(how == Landing::Honoured && *at <= sent));
+        if matches!(how, Landing::Silent | Landing::CalledOff | Landing::TurnedAway) {
+            seat.forsaken.push(sent);
+        }
         match how {
             Landing::Unsent | Landing::Unreached => {}
             Landing::Silent | Landing::CalledOff => {
-                seat.forsaken.push(sent);
                 seat.heard = now;
                 if took.as_f64() > seat.latency.unwrap_or(average) {
                     seat.learn(now, took.as_f64(), shortest, fleet);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -264,12 +264,12 @@
     story.settle_in(100);
     let mut bounced = 0;
     for _ in 0..12 {
-        let id = story.scan(6);
-        bounced += usize::from(story.out(id).is_empty());
+        let scans = [story.scan(3), story.scan(3), story.scan(3)];
+        bounced += scans.iter().filter(|id| story.out(**id).is_empty()).count();
         story.pass(1990);
-        story.land_all(id, Landing::CalledOff);
+        scans.into_iter().for_each(|id| story.land_all(id, Landing::CalledOff));
     }
-    assert!(bounced >= 4, "{bounced}");
+    assert!(bounced >= 15, "{bounced}");
     story.pass(6000);
     let id = story.scan(3);
     assert_eq!(story.out(id).len(), 3, "tried again after a while");
@@ -340,3 +340,23 @@
     story.pass(1000);
     assert_eq!(story.host.watches, 1);
 }
+
+/// A hung searcher's room stays full of work that nobody waits for, and every part it is sent fails at once.
+#[test]
+fn full_rooms_shut_the_door_until_a_check_interval_is_over() {
+    let mut story = story(whole_only());
+    story.settle_in(100);
+    let mut taken = 0;
+    for _ in 0..60 {
+        let id = story.scan(1);
+        taken += usize::from(!story.out(id).is_empty());
+        story.pass(5);
+        while !story.out(id).is_empty() {
+            story.land_all(id, Landing::TurnedAway);
+        }
+    }
+    assert!(taken <= 30, "{taken}");
+    story.pass(5000);
+    let id = story.scan(1);
+    assert_eq!(story.out(id).len(), 1);
+}
