Shut connections that lay idle longer than one that was dropped at once

Something on the way closes idle connections; a searcher that dies drops what it holds, not what it is just sent.

--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -142,6 +142,11 @@
         self.act(21, &[&wire_id.to_be_bytes()]);
     }
 
+    fn hang_up(&mut self, searcher: Searcher) {
+        let wire_id = self.books.wire_ids[searcher.0 as usize];
+        self.act(22, &[&wire_id.to_be_bytes()]);
+    }
+
     fn watch_list(&mut self) {
         self.act(26, &[&[1]]);
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,8 +10,9 @@
 //! 1. failures and parts in vain read as latency (`Roster::note_landed`)
 //! 2. a failed part goes to another replica, within a budget (`Mixer::relay_again`, `RelayBudget`)
 //! 3. a fresh searcher's cap, which grows with its answers (`ColdCare`)
-//! 4. a limit on what is in flight at each searcher; least credit is turned away first (`Door`, `Roster::room`)
-//! 5. light parts are skipped where their searchers are at that limit (`Mixer::send_out`)
+//! 4. a limit on what is in flight at each searcher; what finds no room is turned away, least credit first:
+//!    scans, and the light parts of scans that may do without (`Roster::room`, `Door`, `Mixer::send_out`)
+//! 5. connections that lay idle too long are shut before they are used again (`Roster::is_stale`)
 //! 6. an early end for a scan that can no longer be answered (`Mixer::settle`)
 
 use crate::{
@@ -137,6 +138,9 @@
     /// emptied by an answer to a later one, or after a check interval.
     forsaken: Vec<Moment>,
     heard: Moment,
+    /// When its connection was last used, and how long it had lain idle before.
+    used: Moment,
+    idle: Span,
     down: bool,
     checking: bool,
     /// When it is to be checked; none while a check is out or, without probes, due.
@@ -193,12 +197,25 @@
     typical: f64,
     /// The shortest that the smoothed time has been of late.
     shortest: f64,
+    /// How long a connection may lie idle before it is not trusted; found out.
+    stale_after: f64,
 }
 
 impl Roster {
     pub fn new(seed: u64, cells: u32, width: u32, per_call: usize, may_check: bool, cold: ColdCare) -> Self {
         let (cells, chance) = (cells.max(1), Chance(seed));
-        Self { seats: vec![], cells, width, per_call, may_check, cold, chance, typical: 0.0, shortest: 0.0 }
+        Self {
+            seats: vec![],
+            cells,
+            width,
+            per_call,
+            may_check,
+            cold,
+            chance,
+            typical: 0.0,
+            shortest: 0.0,
+            stale_after: f64::MAX,
+        }
     }
 
     fn seat(&mut self, searcher: Searcher) -> &mut Seat {
@@ -270,10 +287,19 @@
         up.reduce(|a, b| a + b).is_none_or(|room| room >= parts as f64)
     }
 
+    /// Guards against connections that something on the way closes unseen while they lie idle: they are shut
+    /// before they are used again. Hurts where a drop had another cause: some needless new connections.
+    fn is_stale(&self, now: Moment, searcher: Searcher) -> bool {
+        let seat = &self.seats[searcher.0 as usize];
+        seat.out.is_empty() && now.since(seat.used).as_f64() > self.stale_after
+    }
+
     fn note_sent(&mut self, now: Moment, searcher: Searcher, ticket: Ticket) {
         let work = self.work();
         let (cold, fall) = (self.cold.cold, self.cold.fall);
         let seat = self.seat(searcher);
+        seat.idle = if seat.out.is_empty() { now.since(seat.used) } else { Span::ZERO };
+        seat.used = now;
         seat.out.push((ticket, now));
         seat.checking |= seat.down;
         seat.fresh = seat.fresh.take().filter(|fresh| now.since(fresh.since) <= cold + fall);
@@ -292,6 +318,7 @@
         let seat = self.seat(from);
         let sent = now - took;
         seat.out.retain(|(ticket, _)| *ticket != relay);
+        seat.used = now;
         seat.forsaken.retain(|at| now.since(*at) < CHECK_EVERY && !(how == Landing::Honoured && *at <= sent));
         if matches!(how, Landing::Silent | Landing::CalledOff | Landing::TurnedAway) {
             seat.forsaken.push(sent);
@@ -309,6 +336,11 @@
                 seat.fresh.iter_mut().for_each(|fresh| fresh.answers += 1);
                 self.note_time(took.as_f64());
             }
+            // A connection dropped as soon as it was used again had been closed while it lay idle.
+            Landing::Dropped if seat.idle.as_f64() > took.as_f64() * 20.0 => {
+                let idle = seat.idle.as_f64();
+                self.stale_after = self.stale_after.min(idle * 0.9);
+            }
             Landing::Erred | Landing::TurnedAway | Landing::Dropped => {
                 seat.learn(now, quoted.as_f64().max(took.as_f64()), shortest, fleet);
             }
@@ -627,6 +659,9 @@
             mixer.settle(host, id);
         }));
         let relay = Ticket(relay as u32);
+        if self.roster.is_stale(now, to) {
+            host.hang_up(to);
+        }
         self.roster.note_sent(now, to, relay);
         part.tried.push(to);
         (part.out, part.lost) = (Some(relay), false);
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -31,6 +31,7 @@
     pub called_off: Vec<Ticket>,
     pub endings: Vec<(ScanId, Ending)>,
     pub checks: Vec<u32>,
+    pub hung_up: Vec<u32>,
     pub watches: usize,
     wakes: Vec<(Moment, Ticket)>,
 }
@@ -62,6 +63,9 @@
     fn check(&mut self, searcher: Searcher) {
         self.checks.push(searcher.0);
     }
+    fn hang_up(&mut self, searcher: Searcher) {
+        self.hung_up.push(searcher.0);
+    }
     fn watch_list(&mut self) {
         self.watches += 1;
     }
@@ -108,8 +112,8 @@
     let door = Door::new(2, &[1000.0], 0.1, true, Span::of_millis(500));
     let mixer = Mixer::new(vec![kind], roster, budget, door, Span::of_millis(5)).allowing(3, true);
     let now = Moment::at_micros(100_000_000);
-    let (relays, called_off, endings, checks, wakes) = (vec![], vec![], vec![], vec![], vec![]);
-    let host = Fake { now, relays, called_off, endings, checks, watches: 0, wakes };
+    let (relays, called_off, endings, wakes) = (vec![], vec![], vec![], vec![]);
+    let host = Fake { now, relays, called_off, endings, checks: vec![], hung_up: vec![], watches: 0, wakes };
     let mut story = Story { mixer, host, scans: 0 };
     story.list(true, &[(0, true), (1, true), (2, true)], None);
     story
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -360,3 +360,24 @@
     let id = story.scan(1);
     assert_eq!(story.out(id).len(), 1);
 }
+
+/// Something on the way closes idle connections unseen; the next part on one is dropped at once.
+#[test]
+fn a_connection_that_was_dropped_after_lying_idle_is_shut_before_it_is_used_so_late_again() {
+    let mut story = story(whole_only());
+    story.settle_in(100);
+    story.pass(3000);
+    let id = story.scan(1);
+    story.host.now = story.host.now + Span::of_millis(1);
+    story.land_all(id, Landing::Dropped);
+    assert_eq!(story.host.hung_up.len(), 1, "before the next relay of the part, to one as idle");
+    story.land_all(id, Landing::Honoured);
+    story.pass(3000);
+    let late = story.scan(3);
+    assert_eq!(story.host.hung_up.len(), 4);
+    story.pass(100);
+    story.land_all(late, Landing::Honoured);
+    story.pass(1000);
+    story.scan(3);
+    assert_eq!(story.host.hung_up.len(), 4, "not where it lay idle for less");
+}
