--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,18 +21,11 @@
 use slab::Slab;
 use std::collections::{BTreeMap, VecDeque};
 
-/// How a relay ended, for whoever waits for it.
-#[derive(Clone, Copy)]
-struct Landed {
-    relay: Ticket,
-    how: Landing,
-    took: Span,
-}
-
 /// What to do with a result, left behind by the step that asked for it.
 type Then<R> = Box<dyn FnOnce(&mut Mixer, &mut dyn Host, R)>;
 
 /// A permuted congruential generator (PCG-XSH-RR 64/32), for ties alone.
+#[derive(Default)]
 struct Chance(u64);
 
 impl Chance {
@@ -46,6 +39,7 @@
 
 /// Rule 6: relays beyond each part's first, in any window, number at most a few and a share of what was
 /// taken in it. Where no budget is stated our own stands, so that trouble never doubles the load.
+#[derive(Default)]
 pub struct RelayBudget {
     few: f64,
     share: f64,
@@ -57,7 +51,7 @@
 
 impl RelayBudget {
     pub fn stated(few: f64, share: f64, window: Span) -> Self {
-        Self { few, share, window, taken: VecDeque::new(), further: VecDeque::new() }
+        Self { few, share, window, ..Self::default() }
     }
 
     /// A fifth of the parts covers the loss of one searcher in five; ten seconds outlast a pause.
@@ -86,6 +80,7 @@
 }
 
 /// Rule 4: how much a searcher that has just started may be sent, by all mixers together.
+#[derive(Default)]
 pub struct ColdCare {
     fleet: f64,
     from: f64,
@@ -132,8 +127,8 @@
     latency: Option<f64>,
     /// How many relays it may have in flight before scans are turned away.
     limit: f64,
-    /// Relays out, with the time they left; emptied as they land.
-    out: Vec<(Ticket, Moment)>,
+    /// When the relays left that are out; emptied as they land.
+    out: Vec<Moment>,
     /// When relays left that nobody waits for any more but that may run on there, or that found its room full;
     /// emptied by an answer to a later one, or after a check interval.
     forsaken: Vec<Moment>,
@@ -156,7 +151,7 @@
 
     /// Own parts out, by call where parts that left together share one.
     fn calls_out(&self, per_call: usize) -> usize {
-        self.out.chunk_by(|a, b| a.1 == b.1).map(|call| call.len().div_ceil(per_call.max(1))).sum()
+        self.out.chunk_by(|a, b| a == b).map(|call| call.len().div_ceil(per_call.max(1))).sum()
     }
 
     /// The latency to choose by: the smoothed one. What is long unheard drifts to the average, as the unheard
@@ -167,6 +162,12 @@
         average + (self.latency.unwrap_or(average) - average) * (-unheard).exp2()
     }
 
+    /// It has started anew: what was known of it holds no more, but what it was sent lately.
+    fn renew(&mut self, since: Moment) {
+        let sent = self.fresh.take().map_or(VecDeque::new(), |fresh| fresh.sent);
+        (self.latency, self.fresh) = (None, Some(Fresh { since, answers: 0, sent }));
+    }
+
     /// Smooths a latency in. A quarter: four or so answers tell a new state, one odd part does not.
     fn learn(&mut self, now: Moment, sample: f64, shortest: f64, fleet: f64) {
         self.heard = now;
@@ -185,6 +186,7 @@
 const CHECK_EVERY: Span = Span::of_millis(5_000);
 
 /// The searchers and what this mixer has seen of them. Grows with searchers ever listed, not with scans.
+#[derive(Default)]
 pub struct Roster {
     seats: Vec<Seat>,
     cells: u32,
@@ -198,23 +200,19 @@
     /// The shortest that the smoothed time has been of late.
     shortest: f64,
     /// How long a connection may lie idle before it is not trusted; found out.
-    stale_after: f64,
+    stale_after: Option<f64>,
 }
 
 impl Roster {
     pub fn new(seed: u64, cells: u32, width: u32, per_call: usize, may_check: bool, cold: ColdCare) -> Self {
-        let (cells, chance) = (cells.max(1), Chance(seed));
         Self {
-            seats: vec![],
-            cells,
+            cells: cells.max(1),
             width,
             per_call,
             may_check,
             cold,
-            chance,
-            typical: 0.0,
-            shortest: 0.0,
-            stale_after: f64::MAX,
+            chance: Chance(seed),
+            ..Self::default()
         }
     }
 
@@ -291,16 +289,16 @@
     /// before they are used again. Hurts where a drop had another cause: some needless new connections.
     fn is_stale(&self, now: Moment, searcher: Searcher) -> bool {
         let seat = &self.seats[searcher.0 as usize];
-        seat.out.is_empty() && now.since(seat.used).as_f64() > self.stale_after
+        seat.out.is_empty() && self.stale_after.is_some_and(|idle| now.since(seat.used).as_f64() > idle)
     }
 
-    fn note_sent(&mut self, now: Moment, searcher: Searcher, ticket: Ticket) {
+    fn note_sent(&mut self, now: Moment, searcher: Searcher) {
         let work = self.work();
         let (cold, fall) = (self.cold.cold, self.cold.fall);
         let seat = self.seat(searcher);
         seat.idle = if seat.out.is_empty() { now.since(seat.used) } else { Span::ZERO };
         seat.used = now;
-        seat.out.push((ticket, now));
+        seat.out.push(now);
         seat.checking |= seat.down;
         seat.fresh = seat.fresh.take().filter(|fresh| now.since(fresh.since) <= cold + fall);
         if let Some(fresh) = &mut seat.fresh {
@@ -312,12 +310,18 @@
     /// What a relay's end tells of its searcher. Failures read as the quoted time, so that one that fails
     /// fast draws no parts by it: against errors, drops, full rooms. Hurts a searcher met by rare bad luck
     /// for a few parts.
-    fn note_landed(&mut self, now: Moment, from: Searcher, landed: &Landed, quoted: Span) {
-        let Landed { relay, how, took } = *landed;
+    fn note_landed(
+        &mut self,
+        now: Moment,
+        from: Searcher,
+        sent: Moment,
+        how: Landing,
+        took: Span,
+        quoted: Span,
+    ) {
         let (average, shortest, fleet) = (self.average(), self.shortest, self.cold.fleet);
         let seat = self.seat(from);
-        let sent = now - took;
-        seat.out.retain(|(ticket, _)| *ticket != relay);
+        seat.out.iter().position(|at| *at == sent).map(|at| seat.out.remove(at));
         seat.used = now;
         seat.forsaken.retain(|at| now.since(*at) < CHECK_EVERY && !(how == Landing::Honoured && *at <= sent));
         if matches!(how, Landing::Silent | Landing::CalledOff | Landing::TurnedAway) {
@@ -338,8 +342,8 @@
             }
             // A connection dropped as soon as it was used again had been closed while it lay idle.
             Landing::Dropped if seat.idle.as_f64() > took.as_f64() * 20.0 => {
-                let idle = seat.idle.as_f64();
-                self.stale_after = self.stale_after.min(idle * 0.9);
+                let idle = seat.idle.as_f64() * 0.9;
+                self.stale_after = Some(self.stale_after.map_or(idle, |known| known.min(idle)));
             }
             Landing::Erred | Landing::TurnedAway | Landing::Dropped => {
                 seat.learn(now, quoted.as_f64().max(took.as_f64()), shortest, fleet);
@@ -352,8 +356,7 @@
         let seat = self.seat(searcher);
         if std::mem::take(&mut seat.down) {
             let since = seat.started.map_or(now, |at| if now.since(at) < CHECK_EVERY { at } else { now });
-            seat.fresh = Some(Fresh { since, answers: 0, sent: VecDeque::new() });
-            seat.latency = None;
+            seat.renew(since);
         }
         (seat.checking, seat.next_check) = (false, None);
     }
@@ -361,6 +364,7 @@
 
 /// Which scans are taken. A limit on parts in flight follows the ratio of the shortest answer time to the
 /// present one; the nearer to it, the more credit a scan must bring.
+#[derive(Default)]
 pub struct Door {
     over_share_credit: f64,
     by_work: bool,
@@ -376,7 +380,7 @@
 impl Door {
     pub fn new(fleet: usize, shares: &[f64], over_share_credit: f64, by_work: bool, pause: Span) -> Self {
         let customers = shares.iter().map(|s| (s / fleet.max(1) as f64, 0.0, Moment::default())).collect();
-        Self { over_share_credit, by_work, best: 0.0, customers, pause, longest_left: BTreeMap::new() }
+        Self { over_share_credit, by_work, customers, pause, ..Self::default() }
     }
 
     fn over_share(&mut self, now: Moment, customer: usize) -> bool {
@@ -448,6 +452,7 @@
     }
 }
 
+#[derive(Default)]
 pub struct Mixer {
     types: Vec<TrafficType>,
     roster: Roster,
@@ -460,26 +465,15 @@
     /// Open scans; each leaves with its final answer.
     scans: BTreeMap<ScanId, Scan>,
     /// What to do when a relay lands or a time comes; each is taken out by its one result.
-    landings: Slab<Then<Landed>>,
+    landings: Slab<Then<(Landing, Span)>>,
     wakes: Slab<Then<()>>,
 }
 
 impl Mixer {
     pub fn new(types: Vec<TrafficType>, roster: Roster, budget: RelayBudget, door: Door, tick: Span) -> Self {
         let least = types.iter().map(|t| t.quoted).min().unwrap_or(Span::ZERO);
-        let mut mixer = Self {
-            types,
-            roster,
-            budget,
-            door,
-            relay_cap: 1,
-            may_call_off: false,
-            // Three ticks: one for the timer to be late, one for the answer, one for the network.
-            lead: tick * 3.0,
-            scans: BTreeMap::new(),
-            landings: Slab::new(),
-            wakes: Slab::new(),
-        };
+        // Three ticks: one for the timer to be late, one for the answer, one for the network.
+        let mut mixer = Self { types, roster, budget, door, lead: tick * 3.0, ..Self::default() };
         // The design's start: a tenth of the quoted time.
         (mixer.roster.typical, mixer.roster.shortest) = (least.as_f64() / 10.0, least.as_f64() / 10.0);
         mixer
@@ -512,16 +506,12 @@
             let cold = self.roster.cold.cold;
             let seat = self.roster.seat(listing.searcher);
             (seat.cell, seat.ready) = (listing.cell, listing.ready);
-            if let Some(started) = listing.started.filter(|at| seat.started != Some(*at)) {
-                seat.started = Some(started);
-                if now.since(started) < cold {
-                    let since = seat.fresh.as_ref().map_or(started, |f| f.since.max(started));
-                    let sent = seat.fresh.take().map_or(VecDeque::new(), |f| f.sent);
-                    seat.fresh = Some(Fresh { since, answers: 0, sent });
-                    seat.latency = None;
-                    if seat.down {
-                        self.check(host, listing.searcher);
-                    }
+            let news = listing.started.filter(|at| seat.started != Some(*at) && now.since(*at) < cold);
+            seat.started = listing.started;
+            if let Some(started) = news {
+                seat.renew(started);
+                if seat.down {
+                    self.check(host, listing.searcher);
                 }
             }
         }
@@ -576,7 +566,7 @@
     /// A relay ended.
     pub fn landed(&mut self, host: &mut dyn Host, relay: Ticket, how: Landing, took: Span) {
         if let Some(then) = self.landings.try_remove(relay.0 as usize) {
-            then(self, host, Landed { relay, how, took });
+            then(self, host, (how, took));
         }
     }
 
@@ -643,13 +633,13 @@
         let quoted = self.types[scan.traffic_type].quoted;
         let part = &mut scan.parts[at];
         let ran_before = part.may_have_run;
-        let relay = self.landings.insert(Box::new(move |mixer, host, landed: Landed| {
-            mixer.roster.note_landed(host.now(), to, &landed, quoted);
-            mixer.reached_or_not(host, to, landed.how);
+        let relay = self.landings.insert(Box::new(move |mixer, host, (how, took)| {
+            mixer.roster.note_landed(host.now(), to, now, how, took, quoted);
+            mixer.reached_or_not(host, to, how);
             let open = mixer.scans.get_mut(&id).filter(|scan| at >= scan.first);
             let Some(part) = open.map(|scan| &mut scan.parts[at]) else { return };
-            (part.out, part.honoured) = (None, landed.how == Landing::Honoured);
-            if matches!(landed.how, Landing::TurnedAway | Landing::Unreached | Landing::Unsent) {
+            (part.out, part.honoured) = (None, how == Landing::Honoured);
+            if matches!(how, Landing::TurnedAway | Landing::Unreached | Landing::Unsent) {
                 part.may_have_run = ran_before;
             }
             part.lost = !part.honoured;
@@ -662,7 +652,7 @@
         if self.roster.is_stale(now, to) {
             host.hang_up(to);
         }
-        self.roster.note_sent(now, to, relay);
+        self.roster.note_sent(now, to);
         part.tried.push(to);
         (part.out, part.lost) = (Some(relay), false);
         part.may_have_run = ran_before.or(Some(now));
