--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,12 +12,10 @@
 //! 3. a fresh searcher's cap, which grows with its answers (`ColdCare`)
 //! 4. a limit on what is in flight at each searcher; what finds no room is turned away, least credit first:
 //!    scans, and the light parts of scans that may do without (`Roster::room`, `Door`, `Mixer::send_out`)
-//! 5. connections that lay idle too long are shut before they are used again (`Roster::is_stale`)
+//! 5. connections that lay idle too long are shut before they are used again (`Roster::note_sent`)
 //! 6. an early end for a scan that can no longer be answered (`Mixer::settle`)
 
-use crate::{
-    Effect, Host, Landing, Listing, Moment, PartTaken, ScanId, ScanTaken, Searcher, Span, Ticket, TrafficType,
-};
+use crate::*;
 use slab::Slab;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -129,8 +127,8 @@
     limit: f64,
     /// When the relays left that are out; emptied as they land.
     out: Vec<Moment>,
-    /// When relays left that nobody waits for any more but that may run on there, or that found its room full;
-    /// emptied by an answer to a later one, or after a check interval.
+    /// When relays left that nobody waits for but that may run on there, or that found its room full; emptied
+    /// by an answer to a later one, or after a check interval.
     forsaken: Vec<Moment>,
     heard: Moment,
     /// When its connection was last used, and how long it had lain idle before.
@@ -205,15 +203,8 @@
 
 impl Roster {
     pub fn new(seed: u64, cells: u32, width: u32, per_call: usize, may_check: bool, cold: ColdCare) -> Self {
-        Self {
-            cells: cells.max(1),
-            width,
-            per_call,
-            may_check,
-            cold,
-            chance: Chance(seed),
-            ..Self::default()
-        }
+        let chance = Chance(seed);
+        Self { cells: cells.max(1), width, per_call, may_check, cold, chance, ..Self::default() }
     }
 
     fn seat(&mut self, searcher: Searcher) -> &mut Seat {
@@ -285,15 +276,11 @@
         up.reduce(|a, b| a + b).is_none_or(|room| room >= parts as f64)
     }
 
-    /// Guards against connections that something on the way closes unseen while they lie idle: they are shut
-    /// before they are used again. Hurts where a drop had another cause: some needless new connections.
-    fn is_stale(&self, now: Moment, searcher: Searcher) -> bool {
-        let seat = &self.seats[searcher.0 as usize];
-        seat.out.is_empty() && self.stale_after.is_some_and(|idle| now.since(seat.used).as_f64() > idle)
-    }
-
-    fn note_sent(&mut self, now: Moment, searcher: Searcher) {
-        let work = self.work();
+    /// Notes a relay, and tells whether the connection for it is not to be trusted. Guards against any that
+    /// something on the way closes unseen while they lie idle: they are shut before they are used again. Hurts
+    /// where a drop had another cause: some needless new connections.
+    fn note_sent(&mut self, now: Moment, searcher: Searcher) -> bool {
+        let (work, stale_after) = (self.work(), self.stale_after);
         let (cold, fall) = (self.cold.cold, self.cold.fall);
         let seat = self.seat(searcher);
         seat.idle = if seat.out.is_empty() { now.since(seat.used) } else { Span::ZERO };
@@ -305,20 +292,14 @@
             fresh.sent.retain(|(at, _)| now.since(*at) <= fall);
             fresh.sent.push_back((now, work));
         }
+        stale_after.is_some_and(|idle| seat.idle.as_f64() > idle)
     }
 
     /// What a relay's end tells of its searcher. Failures read as the quoted time, so that one that fails
     /// fast draws no parts by it: against errors, drops, full rooms. Hurts a searcher met by rare bad luck
     /// for a few parts.
-    fn note_landed(
-        &mut self,
-        now: Moment,
-        from: Searcher,
-        sent: Moment,
-        how: Landing,
-        took: Span,
-        quoted: Span,
-    ) {
+    fn note_landed(&mut self, now: Moment, from: Searcher, sent: Moment, end: (Landing, Span), quoted: Span) {
+        let (how, took) = (end.0, end.1.as_f64());
         let (average, shortest, fleet) = (self.average(), self.shortest, self.cold.fleet);
         let seat = self.seat(from);
         seat.out.iter().position(|at| *at == sent).map(|at| seat.out.remove(at));
@@ -331,22 +312,22 @@
             Landing::Unsent | Landing::Unreached => {}
             Landing::Silent | Landing::CalledOff => {
                 seat.heard = now;
-                if took.as_f64() > seat.latency.unwrap_or(average) {
-                    seat.learn(now, took.as_f64(), shortest, fleet);
+                if took > seat.latency.unwrap_or(average) {
+                    seat.learn(now, took, shortest, fleet);
                 }
             }
             Landing::Honoured => {
-                seat.learn(now, took.as_f64(), shortest, fleet);
+                seat.learn(now, took, shortest, fleet);
                 seat.fresh.iter_mut().for_each(|fresh| fresh.answers += 1);
-                self.note_time(took.as_f64());
+                self.note_time(took);
             }
             // A connection dropped as soon as it was used again had been closed while it lay idle.
-            Landing::Dropped if seat.idle.as_f64() > took.as_f64() * 20.0 => {
+            Landing::Dropped if seat.idle.as_f64() > took * 20.0 => {
                 let idle = seat.idle.as_f64() * 0.9;
                 self.stale_after = Some(self.stale_after.map_or(idle, |known| known.min(idle)));
             }
             Landing::Erred | Landing::TurnedAway | Landing::Dropped => {
-                seat.learn(now, quoted.as_f64().max(took.as_f64()), shortest, fleet);
+                seat.learn(now, quoted.as_f64().max(took), shortest, fleet);
             }
         }
     }
@@ -411,9 +392,9 @@
 }
 
 /// One part of an open scan.
+#[derive(Default)]
 struct Part {
-    shard: u32,
-    weight: f64,
+    taken: PartTaken,
     tried: Vec<Searcher>,
     out: Option<Ticket>,
     /// When the first relay left that is out or may have run.
@@ -435,20 +416,13 @@
     first_whole: Option<bool>,
 }
 
-impl Part {
-    fn new(taken: &PartTaken) -> Self {
-        let PartTaken { shard, weight, .. } = *taken;
-        Self { shard, weight, tried: vec![], out: None, may_have_run: None, honoured: false, lost: false }
-    }
-}
-
 impl Scan {
     fn step(&self) -> &[Part] {
         &self.parts[self.first..]
     }
 
     fn weight(&self, of: impl Fn(&Part) -> bool) -> f64 {
-        self.step().iter().filter(|p| of(p)).map(|p| p.weight).sum()
+        self.step().iter().filter(|p| of(p)).map(|p| p.taken.weight).sum()
     }
 }
 
@@ -531,18 +505,16 @@
         credit *= if late { kind.late_credit } else { 1.0 };
         let worth = self.door.worth(credit, scan.parts.len());
         let patience = quoted.min(scan.left).less(self.lead);
-        let fits = |p: &&PartTaken| {
-            let beside =
-                scan.parts.iter().filter(|o| o.shard % self.roster.cells == p.shard % self.roster.cells);
-            self.roster.room(now, p.shard, worth, beside.count())
-        };
+        let home = |p: &PartTaken| p.shard % self.roster.cells;
+        let beside = |p: &PartTaken| scan.parts.iter().filter(|other| home(other) == home(p)).count();
+        let fits = |p: &&PartTaken| self.roster.room(now, p.shard, worth, beside(p));
         let room = scan.parts.iter().filter(fits).map(|p| p.weight).sum::<f64>();
         if patience == Span::ZERO || (late && kind.late_credit <= 0.0) || room + SLACK < kind.floor {
             return host.bounce(id, self.door.pause);
         }
         // Of two steps, the first may take half of the time.
         let first_wait = if kind.second_step { patience * 0.5 } else { patience };
-        let parts = scan.parts.iter().map(Part::new).collect();
+        let parts = scan.parts.iter().map(|taken| Part { taken: *taken, ..Part::default() }).collect();
         let (traffic_type, ends) = (scan.traffic_type, now + patience);
         self.scans.insert(id, Scan { traffic_type, worth, ends, parts, first: 0, first_whole: None });
         self.later(host, first_wait, move |mixer, host| {
@@ -557,7 +529,7 @@
     pub fn more_parts(&mut self, host: &mut dyn Host, id: ScanId, parts: &[PartTaken]) {
         self.budget.note_taken(host.now(), parts.len());
         let Some(scan) = self.scans.get_mut(&id) else { return };
-        scan.parts.extend(parts.iter().map(Part::new));
+        scan.parts.extend(parts.iter().map(|taken| Part { taken: *taken, ..Part::default() }));
         let rest = scan.ends.since(host.now());
         self.later(host, rest, move |mixer, host| mixer.close(host, id));
         self.send_out(host, id);
@@ -594,32 +566,28 @@
         }
     }
 
-    fn later(
-        &mut self,
-        host: &mut dyn Host,
-        wait: Span,
-        then: impl FnOnce(&mut Self, &mut dyn Host) + 'static,
-    ) {
+    fn later(&mut self, host: &mut dyn Host, wait: Span, then: impl Fn(&mut Self, &mut dyn Host) + 'static) {
         let ticket = self.wakes.insert(Box::new(move |mixer, host, ()| then(mixer, host)));
         host.wake(Ticket(ticket as u32), host.now() + wait);
     }
 
     /// All parts go out at once, heaviest first. Where a searcher is at its limit, light parts of a scan that
-    /// may be answered without them are skipped: against crowding by scans of very many parts, in any slowness.
+    /// may be answered without them are skipped: against crowding by scans of many parts, in any slowness.
     /// Hurts when the limit is wrong: an answer is then less than it could have been.
     fn send_out(&mut self, host: &mut dyn Host, id: ScanId) {
         let now = host.now();
         let Some(scan) = self.scans.get_mut(&id) else { return };
         let mut order: Vec<usize> = (scan.first..scan.parts.len()).collect();
-        order.sort_by(|a, b| scan.parts[*b].weight.total_cmp(&scan.parts[*a].weight));
+        order.sort_by(|a, b| scan.parts[*b].taken.weight.total_cmp(&scan.parts[*a].taken.weight));
         // Halfway between the floor and all: the other half is for parts lost on the way.
         let mut spare = (1.0 - self.types[scan.traffic_type].floor) / 2.0;
         let worth = scan.worth * order.len() as f64;
         for at in order {
             let Some(part) = self.scans.get_mut(&id).map(|scan| &mut scan.parts[at]) else { return };
-            let skip = part.weight <= spare && !self.roster.room(now, part.shard, worth * part.weight, 1);
-            spare -= if skip { part.weight } else { 0.0 };
-            match self.roster.place(now, part.shard, &part.tried).filter(|_| !skip) {
+            let skip = part.taken.weight <= spare
+                && !self.roster.room(now, part.taken.shard, worth * part.taken.weight, 1);
+            spare -= if skip { part.taken.weight } else { 0.0 };
+            match self.roster.place(now, part.taken.shard, &part.tried).filter(|_| !skip) {
                 Some(to) => self.relay(host, id, at, to),
                 None => part.lost = true,
             }
@@ -634,7 +602,7 @@
         let part = &mut scan.parts[at];
         let ran_before = part.may_have_run;
         let relay = self.landings.insert(Box::new(move |mixer, host, (how, took)| {
-            mixer.roster.note_landed(host.now(), to, now, how, took, quoted);
+            mixer.roster.note_landed(host.now(), to, now, (how, took), quoted);
             mixer.reached_or_not(host, to, how);
             let open = mixer.scans.get_mut(&id).filter(|scan| at >= scan.first);
             let Some(part) = open.map(|scan| &mut scan.parts[at]) else { return };
@@ -649,10 +617,9 @@
             mixer.settle(host, id);
         }));
         let relay = Ticket(relay as u32);
-        if self.roster.is_stale(now, to) {
+        if self.roster.note_sent(now, to) {
             host.hang_up(to);
         }
-        self.roster.note_sent(now, to);
         part.tried.push(to);
         (part.out, part.lost) = (Some(relay), false);
         part.may_have_run = ran_before.or(Some(now));
@@ -672,9 +639,9 @@
             (Effect::Irreversible, Some(_)) => false,
         };
         let in_time = scan.ends.since(now).as_f64() > self.roster.typical / 2.0;
-        let allowed = part.tried.len() < self.relay_cap && self.roster.room(now, part.shard, 0.0, 1);
+        let allowed = part.tried.len() < self.relay_cap && self.roster.room(now, part.taken.shard, 0.0, 1);
         if harmless && in_time && allowed {
-            let place = self.roster.place(now, part.shard, &part.tried);
+            let place = self.roster.place(now, part.taken.shard, &part.tried);
             if let Some(to) = place.filter(|_| self.budget.spend(now)) {
                 self.relay(host, id, at, to);
             }
@@ -736,12 +703,11 @@
                 seat.down = true;
                 self.check_later(host, searcher);
             }
-            Landing::Honoured | Landing::Erred | Landing::TurnedAway if seat.down => {
-                self.roster.note_up(host.now(), searcher);
-            }
-            Landing::Silent | Landing::CalledOff | Landing::Dropped | Landing::Unsent if seat.checking => {
-                self.check_later(host, searcher);
+            Landing::Honoured | Landing::Erred | Landing::TurnedAway => {
+                self.roster.note_up(host.now(), searcher)
             }
+            Landing::Unreached => {}
+            _ if seat.checking => self.check_later(host, searcher),
             _ => {}
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -120,7 +120,7 @@
 }
 
 /// One part of a scan, as it was taken.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct PartTaken {
     pub shard: u32,
     pub weight: f64,
