--- a/src/choice.rs
+++ b/src/choice.rs
@@ -95,12 +95,13 @@
     /// Guards against toppling a searcher that has just started, or that came back from any failure to
     /// connect. Hurts when a searcher was only out of reach: it is then spared for a while. Its cap in flight
     /// starts at one and grows by one with each answer, and what it is sent in a window stays within this
-    /// mixer's share of the rule's figure. Its true size is never told: one core is the least there is.
+    /// mixer's share of the rule's figure. Its true size is never told: two
+    /// cores are taken for the least. With one, the hunts came to a quarter of the rule's figure at most.
     fn has_room(&self, seat: &Seat, work: Span, now: Moment) -> bool {
         let Some(fresh) = &seat.fresh else { return true };
         let age = now.since(fresh.since).less(self.fall).as_f64() / self.cold.as_f64().max(1.0);
         let grown = self.from + (1.0 - self.from) * age.min(1.0);
-        let allowed = self.multiple * grown * self.fall.as_f64() / self.fleet;
+        let allowed = 2.0 * self.multiple * grown * self.fall.as_f64() / self.fleet;
         let recent = fresh.sent.iter().filter(|(at, _)| now.since(*at) <= self.fall);
         let sum: f64 = recent.map(|(_, work)| work.as_f64()).sum();
         seat.out.len() <= fresh.answers && sum + work.as_f64() <= allowed.max(work.as_f64())
