--- a/src/choice.rs
+++ b/src/choice.rs
@@ -167,7 +167,7 @@
         (self.latency, self.fresh) = (None, Some(Fresh { since, answers: 0, sent }));
     }
 
-    /// Smooths a latency in. An eighth, as in TCP: one odd part tells little. A quarter and a half did no better.
+    /// Smooths a latency in. An eighth, as in TCP: one odd part tells little. A quarter did no better.
     fn learn(&mut self, now: Moment, sample: f64, shortest: f64, fleet: f64) {
         self.heard = now;
         self.latency = Some(self.latency.map_or(sample, |old| old + (sample - old) / 8.0));
@@ -266,10 +266,15 @@
     }
 
     /// Whether the replicas of a shard together have room under their limits for so many parts, of which a
-    /// scan of such worth may fill so much; where none is up, that is not for the door to say.
-    fn room(&self, now: Moment, shard: u32, worth: f64, parts: usize) -> bool {
+    /// scan of such worth may fill so much; where none is up, that is not for the door to say. One too slow
+    /// for the time left has none: against hurried clients and slow shards, whose parts would run in vain.
+    /// Hurts where latencies lag a recovery; so one part at a time is always let in. Half as long again as
+    /// usual is what the slowest of a few parts takes.
+    fn room(&self, now: Moment, left: Span, shard: u32, worth: f64, parts: usize) -> bool {
         let share = 0.5 + 0.5 * worth.min(1.0);
-        let free = |s: &Seat| match self.cold.has_room(s, self.work(), now) {
+        let (average, left) = (self.average(), left.as_f64());
+        let in_time = |s: &Seat| s.busy(now) == 0.0 || s.standing(now, average) * 1.5 < left;
+        let free = |s: &Seat| match in_time(s) && self.cold.has_room(s, self.work(), now) {
             true => (s.limit * share - s.busy(now)).max(0.0).ceil(),
             false => 0.0,
         };
@@ -277,9 +282,9 @@
         up.reduce(|a, b| a + b).is_none_or(|room| room >= parts as f64)
     }
 
-    /// Notes a relay, and tells whether the connection for it is not to be trusted. Guards against any that
-    /// something on the way closes unseen while they lie idle: they are shut before they are used again. Hurts
-    /// where a drop had another cause: some needless new connections.
+    /// Notes a relay, and tells whether its connection is to be trusted no more. Guards against any that
+    /// something on the way closes unseen while they lie idle: they are shut before they are used again.
+    /// Hurts where a drop had another cause: some needless new connections.
     fn note_sent(&mut self, now: Moment, searcher: Searcher) -> bool {
         let (work, stale_after) = (self.work(), self.stale_after);
         let (cold, fall) = (self.cold.cold, self.cold.fall);
@@ -508,7 +513,7 @@
         let patience = quoted.min(scan.left).less(self.lead);
         let home = |p: &PartTaken| p.shard % self.roster.cells;
         let beside = |p: &PartTaken| scan.parts.iter().filter(|other| home(other) == home(p)).count();
-        let fits = |p: &&PartTaken| self.roster.room(now, p.shard, worth, beside(p));
+        let fits = |p: &&PartTaken| self.roster.room(now, patience, p.shard, worth, beside(p));
         let room = scan.parts.iter().filter(fits).map(|p| p.weight).sum::<f64>();
         if patience == Span::ZERO || (late && kind.late_credit <= 0.0) || room + SLACK < kind.floor {
             return host.bounce(id, self.door.pause);
@@ -582,11 +587,11 @@
         order.sort_by(|a, b| scan.parts[*b].taken.weight.total_cmp(&scan.parts[*a].taken.weight));
         // Halfway between the floor and all: the other half is for parts lost on the way.
         let mut spare = (1.0 - self.types[scan.traffic_type].floor) / 2.0;
-        let worth = scan.worth * order.len() as f64;
+        let (worth, left) = (scan.worth * order.len() as f64, scan.ends.since(now));
         for at in order {
             let Some(part) = self.scans.get_mut(&id).map(|scan| &mut scan.parts[at]) else { return };
             let skip = part.taken.weight <= spare
-                && !self.roster.room(now, part.taken.shard, worth * part.taken.weight, 1);
+                && !self.roster.room(now, left, part.taken.shard, worth * part.taken.weight, 1);
             spare -= if skip { part.taken.weight } else { 0.0 };
             match self.roster.place(now, part.taken.shard, &part.tried).filter(|_| !skip) {
                 Some(to) => self.relay(host, id, at, to),
@@ -639,9 +644,9 @@
             (Effect::Labelled(window), Some(first)) => now.since(first) + self.lead < window,
             (Effect::Irreversible, Some(_)) => false,
         };
-        let in_time = scan.ends.since(now).as_f64() > self.roster.typical / 2.0;
-        let allowed = part.tried.len() < self.relay_cap && self.roster.room(now, part.taken.shard, 0.0, 1);
-        if harmless && in_time && allowed {
+        let allowed = part.tried.len() < self.relay_cap
+            && self.roster.room(now, scan.ends.since(now), part.taken.shard, 0.0, 1);
+        if harmless && allowed {
             let place = self.roster.place(now, part.taken.shard, &part.tried);
             if let Some(to) = place.filter(|_| self.budget.spend(now)) {
                 self.relay(host, id, at, to);
@@ -691,9 +696,8 @@
     }
 
     fn call_off_all(&self, host: &mut dyn Host, scan: &Scan) {
-        if self.may_call_off {
-            scan.parts.iter().filter_map(|p| p.out).for_each(|relay| host.call_off(relay));
-        }
+        let out = scan.parts.iter().filter_map(|part| part.out).filter(|_| self.may_call_off);
+        out.for_each(|relay| host.call_off(relay));
     }
 
     /// The design's down mark: a connection failure sets it, a check that passes lifts it.
@@ -737,5 +741,5 @@
     }
 }
 
-/// Sums of weights may fall so little short: half of what the rules allow.
+/// Sums of weights may fall so little short: half of the rules' figure.
 const SLACK: f64 = 0.00005;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -381,3 +381,15 @@
     story.scan(3);
     assert_eq!(story.host.hung_up.len(), 4, "not where it lay idle for less");
 }
+
+/// Clients that give up after half a second, while parts take longer: the parts would run in vain.
+#[test_case(140, false; "less time than the parts need")]
+#[test_case(400, true; "time enough")]
+fn a_scan_in_a_hurry_is_taken_only_where_the_searchers_are_quick_enough(left: u64, taken: bool) {
+    let mut story = story(whole_only());
+    story.settle_in(100);
+    story.scan(3);
+    let id = story.scan_weighing(&[0.5, 0.5], left, false);
+    assert_eq!(story.host.ending(id), (!taken).then_some(Ending::Bounced));
+    assert_eq!(story.out(id).len(), if taken { 2 } else { 0 });
+}
