--- a/src/choice.rs
+++ b/src/choice.rs
@@ -711,8 +711,7 @@
             Landing::Honoured | Landing::Erred | Landing::TurnedAway => {
                 self.roster.note_up(host.now(), searcher)
             }
-            Landing::Unreached => {}
-            _ if seat.checking => self.check_later(host, searcher),
+            _ if seat.checking && how != Landing::Unreached => self.check_later(host, searcher),
             _ => {}
         }
     }
