--- a/src/choice.rs
+++ b/src/choice.rs
@@ -585,8 +585,8 @@
         let Some(scan) = self.scans.get_mut(&id) else { return };
         let mut order: Vec<usize> = (scan.first..scan.parts.len()).collect();
         order.sort_by(|a, b| scan.parts[*b].taken.weight.total_cmp(&scan.parts[*a].taken.weight));
-        // Halfway between the floor and all: the other half is for parts lost on the way.
-        let mut spare = (1.0 - self.types[scan.traffic_type].floor) / 2.0;
+        // Three quarters of the way to the floor: the last quarter is for parts lost on the way.
+        let mut spare = (1.0 - self.types[scan.traffic_type].floor) * 0.75;
         let (worth, left) = (scan.worth * order.len() as f64, scan.ends.since(now));
         for at in order {
             let Some(part) = self.scans.get_mut(&id).map(|scan| &mut scan.parts[at]) else { return };
