--- a/src/choice.rs
+++ b/src/choice.rs
@@ -265,17 +265,18 @@
         (seat.cell + self.cells - shard % self.cells) % self.cells < self.width
     }
 
-    /// Whether the replicas of a shard together have room under their limits for so many parts, of which a
-    /// scan of such worth may fill so much; where none is up, that is not for the door to say. One too slow
-    /// for the time left has none: against hurried clients and slow shards, whose parts would run in vain.
-    /// Hurts where latencies lag a recovery; so one part at a time is always let in. Half as long again as
-    /// usual is what the slowest of a few parts takes.
+    /// Whether the replicas of a shard together have room under their limits for so many parts; where none is
+    /// up, that is not for the door to say. Scans of little worth may fill less, at slow replicas the least:
+    /// seven and three tenths lost nowhere. One too slow for the time left has none: against hurried clients
+    /// and slow shards, whose parts would run in vain. Hurts where latencies lag a recovery; so one part at a
+    /// time is let in. Half as long again as usual is what the slowest of a few parts takes.
     fn room(&self, now: Moment, left: Span, shard: u32, worth: f64, parts: usize) -> bool {
-        let share = 0.5 + 0.5 * worth.min(1.0);
         let (average, left) = (self.average(), left.as_f64());
+        let slow = |s: &Seat| s.standing(now, average) > 2.0 * self.shortest;
+        let share = |s: &Seat| if slow(s) { 0.3 + 0.7 * worth } else { 0.7 + 0.3 * worth }.min(1.0);
         let in_time = |s: &Seat| s.busy(now) == 0.0 || s.standing(now, average) * 1.5 < left;
         let free = |s: &Seat| match in_time(s) && self.cold.has_room(s, self.work(), now) {
-            true => (s.limit * share - s.busy(now)).max(0.0).ceil(),
+            true => (s.limit * share(s) - s.busy(now)).max(0.0).ceil(),
             false => 0.0,
         };
         let up = self.seats.iter().filter(|s| s.ready && !s.down && self.holds(s, shard)).map(free);
@@ -607,7 +608,7 @@
         let quoted = self.types[scan.traffic_type].quoted;
         let part = &mut scan.parts[at];
         let ran_before = part.may_have_run;
-        let relay = self.landings.insert(Box::new(move |mixer, host, (how, took)| {
+        let relay = Ticket(self.landings.insert(Box::new(move |mixer, host, (how, took)| {
             mixer.roster.note_landed(host.now(), to, now, (how, took), quoted);
             mixer.reached_or_not(host, to, how);
             let open = mixer.scans.get_mut(&id).filter(|scan| at >= scan.first);
@@ -621,8 +622,7 @@
                 mixer.relay_again(host, id, at);
             }
             mixer.settle(host, id);
-        }));
-        let relay = Ticket(relay as u32);
+        })) as u32);
         if self.roster.note_sent(now, to) {
             host.hang_up(to);
         }
