--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -147,3 +147,30 @@
         frame
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::Reply;
+
+    /// The page's reply for two instances, to the byte.
+    #[test]
+    fn a_reply_names_each_instance_once_and_counts_its_records() {
+        let mut reply = Reply::default();
+        reply.action(
+            3,
+            16,
+            &[&0x0006e30c5d3a91c4u64.to_be_bytes(), &0x03124a07u32.to_be_bytes(), &[0, 1, 0x38, 0x80]],
+        );
+        reply.action(3, 20, &[&0x0087fd7au64.to_be_bytes(), &0x4du32.to_be_bytes()]);
+        reply.action(5, 24, &[&17u16.to_be_bytes(), b"two servers known"]);
+        let hex: String = reply.take().iter().map(|byte| format!("{byte:02x}")).collect();
+        let page = "000000050000004c\
+            1d000000020003\
+            10000000100006e30c5d3a91c403124a0700013880\
+            140000000c000000000087fd7a0000004d\
+            1d000000020005\
+            1800000013001174776f2073657276657273206b6e6f776e";
+        assert_eq!(hex, page);
+        assert_eq!(reply.take(), [0; 8]);
+    }
+}
