--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -10,7 +10,6 @@
 #[derive(Clone, Copy)]
 pub struct Entry {
     pub wire_id: u32,
-    pub zone: u8,
     pub status: u8,
     pub cell: u16,
     pub started: u64,
@@ -221,7 +220,7 @@
             self.hand_over(now, reply);
             self.arriving = Some(Arriving { id, scan: None, parts: Vec::new() });
         }
-        let part = PartTaken { shard: shard as u32, weight: f64::from(weight), work };
+        let part = PartTaken { shard: shard as u32, weight: f64::from(weight) };
         self.arriving.iter_mut().for_each(|a| a.parts.push(part));
         self.books.slots[id.slot as usize].parts.push((corr, 0));
         Ok(())
@@ -235,7 +234,6 @@
         let listing = |entry: &Entry| Listing {
             searcher: self.books.searcher(entry.wire_id),
             cell: entry.cell.into(),
-            zone: entry.zone.into(),
             ready: entry.status == 0,
             started: (entry.started != 0).then(|| Moment::at_micros(entry.started)),
         };
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -350,8 +350,8 @@
     }
 }
 
-/// Which scans are taken. A limit on parts in flight follows the ratio of the shortest answer time to the
-/// present one; the nearer to it, the more credit a scan must bring.
+/// What a scan is worth at the door: its credit for its work, less where its customer is over its share or the
+/// quoted time is past. The less it is worth, the less of a searcher's limit it may fill (`Roster::room`).
 #[derive(Default)]
 pub struct Door {
     over_share_credit: f64,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -113,7 +113,6 @@
 pub struct Listing {
     pub searcher: Searcher,
     pub cell: u32,
-    pub zone: u32,
     /// Still to be given work: neither draining nor gone.
     pub ready: bool,
     pub started: Option<Moment>,
@@ -124,8 +123,6 @@
 pub struct PartTaken {
     pub shard: u32,
     pub weight: f64,
-    /// The client's rough hint of its work.
-    pub work: Option<Span>,
 }
 
 /// A scan, as it was taken.
@@ -135,6 +132,7 @@
     pub customer: usize,
     /// Until the client gives up on this try.
     pub left: Span,
+    /// The client's rough hint of the work of all parts.
     pub work: Option<Span>,
     /// The client says that it has asked before.
     pub repeat: bool,
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -120,8 +120,7 @@
 
 impl Story {
     pub fn list(&mut self, whole: bool, searchers: &[(u32, bool)], started: Option<Moment>) {
-        let line =
-            |&(id, ready): &(u32, bool)| Listing { searcher: Searcher(id), cell: 0, zone: 0, ready, started };
+        let line = |&(id, ready): &(u32, bool)| Listing { searcher: Searcher(id), cell: 0, ready, started };
         let lines: Vec<Listing> = searchers.iter().map(line).collect();
         self.mixer.listed(&mut self.host, whole, &lines);
     }
@@ -134,8 +133,7 @@
     pub fn scan_weighing(&mut self, weights: &[f64], left: u64, repeat: bool) -> ScanId {
         let id = ScanId { slot: self.scans, turn: 1 };
         self.scans += 1;
-        let taken =
-            |(shard, weight): (usize, &f64)| PartTaken { shard: shard as u32, weight: *weight, work: None };
+        let taken = |(shard, weight): (usize, &f64)| PartTaken { shard: shard as u32, weight: *weight };
         let parts = weights.iter().enumerate().map(taken).collect();
         let left = Span::of_millis(left);
         let scan = ScanTaken { traffic_type: 0, customer: 0, left, work: None, repeat, parts };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -312,7 +312,7 @@
     story.pass(100);
     story.land_all(id, Landing::Honoured);
     assert_eq!(story.host.endings, [(id, Ending::FirstStep)]);
-    let parts = [PartTaken { shard: 0, weight: 1.0, work: None }];
+    let parts = [PartTaken { shard: 0, weight: 1.0 }];
     story.mixer.more_parts(&mut story.host, id, &parts);
     story.pass(100);
     story.land_all(id, Landing::Honoured);
