--- a/src/choice.rs
+++ b/src/choice.rs
@@ -350,8 +350,8 @@
     }
 }
 
-/// What a scan is worth at the door: its credit for its work, less where its customer is over its share or the
-/// quoted time is past. The less it is worth, the less of a searcher's limit it may fill (`Roster::room`).
+/// What a scan is worth at the door: its credit for its work, less where its customer is over its share or
+/// its quoted time is past. The less it is worth, the less of a limit it may fill (`Roster::room`).
 #[derive(Default)]
 pub struct Door {
     over_share_credit: f64,
