Pace parts to a fresh searcher by turns of chance that add up over the fleet

Cause: a least of one part a mixer and window. Now each mixer waits for its first turn by chance and keeps its share of half the rule's pace.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,7 +22,7 @@
 /// What to do with a result, left behind by the step that asked for it.
 type Then<R> = Box<dyn FnOnce(&mut Mixer, &mut dyn Host, R)>;
 
-/// A permuted congruential generator (PCG-XSH-RR 64/32), for ties alone.
+/// A permuted congruential generator (PCG-XSH-RR 64/32), for ties and turns.
 #[derive(Default)]
 struct Chance(u64);
 
@@ -33,6 +33,10 @@
         let mixed = ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32);
         ((u64::from(mixed) * n as u64) >> 32) as usize
     }
+
+    fn share(&mut self) -> f64 {
+        self.below(1 << 20) as f64 / f64::from(1 << 20)
+    }
 }
 
 /// Rule 6: relays beyond each part's first, in any window, number at most a few and a share of what was
@@ -92,19 +96,17 @@
         Self { fleet: fleet.max(1) as f64, from, cold, multiple, fall }
     }
 
-    /// Guards against toppling a searcher that has just started, or that came back from any failure to
-    /// connect. Hurts when a searcher was only out of reach: it is then spared for a while. Its cap in flight
-    /// starts at one and grows by one with each answer, and what it is sent in a window stays within this
-    /// mixer's share of the rule's figure. Its true size is never told: two cores are taken for the least.
-    /// With one, the hunts came to a quarter of the rule's figure at most.
+    /// Guards against toppling a searcher that just started, or came back from any failure to connect. Hurts
+    /// when it was only out of reach. Its cap in flight starts at one and grows with each answer; its parts
+    /// come at this mixer's share of the rule's pace, the first after a wait by chance: where many mixers
+    /// share, that is less than one part in the rule's window. Two cores are taken for its size, never told;
+    /// half the pace, as several mixers' turns may fall together.
     fn has_room(&self, seat: &Seat, work: Span, now: Moment) -> bool {
         let Some(fresh) = &seat.fresh else { return true };
         let age = now.since(fresh.since).less(self.fall).as_f64() / self.cold.as_f64().max(1.0);
         let grown = self.from + (1.0 - self.from) * age.min(1.0);
-        let allowed = 2.0 * self.multiple * grown * self.fall.as_f64() / self.fleet;
-        let recent = fresh.sent.iter().filter(|(at, _)| now.since(*at) <= self.fall);
-        let sum: f64 = recent.map(|(_, work)| work.as_f64()).sum();
-        seat.out.len() <= fresh.answers && sum + work.as_f64() <= allowed.max(work.as_f64())
+        let saved = now.since(fresh.last).as_f64() * 0.5 * 2.0 * self.multiple * grown / self.fleet;
+        seat.out.len() <= fresh.answers && saved >= fresh.turn * work.as_f64()
     }
 }
 
@@ -112,8 +114,9 @@
 struct Fresh {
     since: Moment,
     answers: usize,
-    /// Work sent within the rule's window; emptied as it leaves the window, dropped once warm.
-    sent: VecDeque<(Moment, Span)>,
+    /// When it was last sent a part, or first heard of, and the share of a part's pace to wait from then.
+    last: Moment,
+    turn: f64,
 }
 
 /// One searcher as this mixer knows it.
@@ -161,10 +164,10 @@
         average + (self.latency.unwrap_or(average) - average) * (-unheard).exp2()
     }
 
-    /// It has started anew: what was known of it holds no more, but what it was sent lately.
-    fn renew(&mut self, since: Moment) {
-        let sent = self.fresh.take().map_or(VecDeque::new(), |fresh| fresh.sent);
-        (self.latency, self.fresh) = (None, Some(Fresh { since, answers: 0, sent }));
+    /// It has started anew: what was known of it holds no more, but its next turn.
+    fn renew(&mut self, since: Moment, last: Moment, turn: f64) {
+        let (last, turn) = self.fresh.take().map_or((last, turn), |fresh| (fresh.last, fresh.turn));
+        (self.latency, self.fresh) = (None, Some(Fresh { since, answers: 0, last, turn }));
     }
 
     /// Smooths a latency in. An eighth, as in TCP: one odd part tells little. A quarter did no better.
@@ -287,17 +290,14 @@
     /// something on the way closes unseen while they lie idle: they are shut before they are used again.
     /// Hurts where a drop had another cause: some needless new connections.
     fn note_sent(&mut self, now: Moment, searcher: Searcher) -> bool {
-        let (work, stale_after, cold, fall) = (self.work(), self.stale_after, self.cold.cold, self.cold.fall);
+        let (stale_after, cold, fall) = (self.stale_after, self.cold.cold, self.cold.fall);
         let seat = self.seat(searcher);
         seat.idle = if seat.out.is_empty() { now.since(seat.used) } else { Span::ZERO };
         seat.used = now;
         seat.out.push(now);
         seat.checking |= seat.down;
         seat.fresh = seat.fresh.take().filter(|fresh| now.since(fresh.since) <= cold + fall);
-        if let Some(fresh) = &mut seat.fresh {
-            fresh.sent.retain(|(at, _)| now.since(*at) <= fall);
-            fresh.sent.push_back((now, work));
-        }
+        seat.fresh.iter_mut().for_each(|fresh| (fresh.last, fresh.turn) = (now, 1.0));
         stale_after.is_some_and(|idle| seat.idle.as_f64() > idle)
     }
 
@@ -340,10 +340,11 @@
 
     /// A check passed: the searcher is taken for one that has just started, as a dead one will have.
     fn note_up(&mut self, now: Moment, searcher: Searcher) {
+        let turn = self.chance.share();
         let seat = self.seat(searcher);
         if std::mem::take(&mut seat.down) {
             let since = seat.started.map_or(now, |at| if now.since(at) < CHECK_EVERY { at } else { now });
-            seat.renew(since);
+            seat.renew(since, now, turn);
         }
         (seat.checking, seat.next_check) = (false, None);
     }
@@ -487,13 +488,13 @@
                 // A dozen for all mixers together: some for each core of a usual machine.
                 self.roster.seats.push(Seat { limit: 12.0 / self.roster.cold.fleet, ..Seat::default() });
             }
-            let cold = self.roster.cold.cold;
+            let (cold, turn) = (self.roster.cold.cold, self.roster.chance.share());
             let seat = self.roster.seat(listing.searcher);
             (seat.cell, seat.ready) = (listing.cell, listing.ready);
             let news = listing.started.filter(|at| seat.started != Some(*at) && now.since(*at) < cold);
             seat.started = listing.started;
             if let Some(started) = news {
-                seat.renew(started);
+                seat.renew(started, now, turn);
                 if seat.down {
                     self.check(host, listing.searcher);
                 }
