Find a shard's holders by cell, keep the sum of latencies, smooth by time unheard

Cause: every part walked over all searchers to be placed, to ask for room and for the average; and a mixer of a hundred hears of a searcher every 20 s, so that an eighth a sample, with parts in vain not even weighed by time, learns nothing.

--- a/crates/simhost/src/readings.rs
+++ b/crates/simhost/src/readings.rs
@@ -79,14 +79,14 @@
     }
 
     pub fn mixer(&self, seed: u64) -> Result<Mixer, Malformed> {
-        let fleet = self.number("fleet_size", 1.0)? as usize;
-        let cold = ColdCare::new(
+        let fleet = self.number("fleet_size", 1.0)?.max(1.0);
+        let cold = ColdCare {
             fleet,
-            self.number("invariants.cold_from", 1.0)?,
-            self.span("invariants.cold")?,
-            self.number("invariants.fall_multiple", 1.0)?,
-            self.span("invariants.fall")?,
-        );
+            from: self.number("invariants.cold_from", 1.0)?,
+            cold: self.span("invariants.cold")?,
+            multiple: self.number("invariants.fall_multiple", 1.0)?,
+            fall: self.span("invariants.fall")?,
+        };
         let roster = Roster::new(
             seed,
             self.number("family_info.cells", 1.0)? as u32,
@@ -102,7 +102,7 @@
         let budget = if stated { RelayBudget::stated(few, share, window) } else { RelayBudget::unstated() };
         let quota = |i| self.number(&format!("customers.{i}.quota_per_s"), f64::MAX);
         let door = Door::new(
-            fleet,
+            fleet as usize,
             &(0..self.count("customers")?).map(quota).collect::<Result<Vec<_>, _>>()?,
             self.number("over_share_worth", 1.0)?,
             self.says("worth_by", "work"),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,6 +1,6 @@
 //! Every decision of a fernglade mixer: where each part of a scan goes, when the scan is answered, and what
 //! is done when searchers fail. A front (`crates/simhost` on the bench, the real mixer later) calls the
-//! public functions of [`Mixer`] with what it hears; the module acts through `Host`, both in `src/lib.rs`.
+//! public functions of [`Mixer`] with what it hears; it acts through `Host`. The interface is `src/lib.rs`.
 //!
 //! The ordinary path is the design's (docs/design.md): all parts go out at once, each to the replica with
 //! the least smoothed latency x (own parts out + 1); the scan is answered when every part has an outcome,
@@ -17,7 +17,8 @@
 
 use crate::*;
 use slab::Slab;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::mem::{replace, take};
 
 /// What to do with a result, left behind by the step that asked for it.
 type Then<R> = Box<dyn FnOnce(&mut Mixer, &mut dyn Host, R)>;
@@ -84,29 +85,25 @@
 /// Rule 4: how much a searcher that has just started may be sent, by all mixers together.
 #[derive(Default)]
 pub struct ColdCare {
-    fleet: f64,
-    from: f64,
-    cold: Span,
-    multiple: f64,
-    fall: Span,
+    pub fleet: f64,
+    pub from: f64,
+    pub cold: Span,
+    pub multiple: f64,
+    pub fall: Span,
 }
 
 impl ColdCare {
-    pub fn new(fleet: usize, from: f64, cold: Span, multiple: f64, fall: Span) -> Self {
-        Self { fleet: fleet.max(1) as f64, from, cold, multiple, fall }
-    }
-
     /// Guards against toppling a searcher that just started, or came back from any failure to connect. Hurts
     /// when it was only out of reach. Its cap in flight starts at one and grows with each answer; its parts
     /// come at this mixer's share of the rule's pace, the first after a wait by chance: where many mixers
     /// share, that is less than one part in the rule's window. Two cores are taken for its size, never told;
     /// half the pace, as several mixers' turns may fall together.
-    fn has_room(&self, seat: &Seat, work: Span, now: Moment) -> bool {
+    fn has_room(&self, seat: &Seat, work: f64, now: Moment) -> bool {
         let Some(fresh) = &seat.fresh else { return true };
         let age = now.since(fresh.since).less(self.fall).as_f64() / self.cold.as_f64().max(1.0);
         let grown = self.from + (1.0 - self.from) * age.min(1.0);
         let saved = now.since(fresh.last).as_f64() * 0.5 * 2.0 * self.multiple * grown / self.fleet;
-        seat.out.len() <= fresh.answers && saved >= fresh.turn * work.as_f64()
+        seat.out.len() <= fresh.answers && saved >= fresh.turn * work
     }
 }
 
@@ -163,25 +160,6 @@
         let unheard = now.since(until).as_f64() / CHECK_EVERY.as_f64();
         average + (self.latency.unwrap_or(average) - average) * (-unheard).exp2()
     }
-
-    /// It has started anew: what was known of it holds no more, but its next turn.
-    fn renew(&mut self, since: Moment, last: Moment, turn: f64) {
-        let (last, turn) = self.fresh.take().map_or((last, turn), |fresh| (fresh.last, fresh.turn));
-        (self.latency, self.fresh) = (None, Some(Fresh { since, answers: 0, last, turn }));
-    }
-
-    /// Smooths a latency in. An eighth, as in TCP: one odd part tells little. A quarter did no better.
-    fn learn(&mut self, now: Moment, sample: f64, shortest: f64, fleet: f64) {
-        self.heard = now;
-        self.latency = Some(self.latency.map_or(sample, |old| old + (sample - old) / 8.0));
-        // Past one and a half times the shortest a queue stands: 1.25 to 2 did nearly as well, 3.2 worse. All
-        // mixers' limits add up at the searcher, so each grows and starts with its part of the fleet.
-        let ratio = (1.5 * shortest / self.latency.unwrap_or(sample)).clamp(0.1, 1.0);
-        if ratio < 1.0 || self.out.len() as f64 > self.limit / 4.0 {
-            let aimed = self.limit * ratio + (3.0 * self.limit / fleet).sqrt();
-            self.limit = (self.limit + 0.1 * (aimed - self.limit)).max(1.0);
-        }
-    }
 }
 
 /// How often a searcher that is down is checked: the design page's figure.
@@ -191,6 +169,10 @@
 #[derive(Default)]
 pub struct Roster {
     seats: Vec<Seat>,
+    /// The searchers listed ready, by cell.
+    homes: BTreeMap<u32, Vec<Searcher>>,
+    /// The sum of the latencies known, and their number.
+    known: (f64, f64),
     cells: u32,
     width: u32,
     per_call: usize,
@@ -199,7 +181,7 @@
     chance: Chance,
     /// Smoothed time of answered parts, over all searchers.
     typical: f64,
-    /// The shortest that the smoothed time has been of late.
+    /// The shortest that the smoothed time has been of late: what a part is taken to cost, with little queue.
     shortest: f64,
     /// How long a connection may lie idle before it is not trusted; found out.
     stale_after: Option<f64>,
@@ -215,18 +197,64 @@
         &mut self.seats[searcher.0 as usize]
     }
 
+    /// Over the latencies known, and one more that is the usual time.
     fn average(&self) -> f64 {
-        let known = self.seats.iter().filter(|s| s.ready && !s.down).filter_map(|s| s.latency);
-        let (sum, count) = known.fold((0.0, 0.0), |(sum, count), l| (sum + l, count + 1.0));
-        match count > 0.0 {
-            true => sum / count,
-            false => self.typical,
+        (self.known.0 + self.typical) / (self.known.1 + 1.0)
+    }
+
+    fn set_latency(&mut self, searcher: Searcher, latency: Option<f64>) {
+        let old = replace(&mut self.seat(searcher).latency, latency);
+        let (sum, number) = &mut self.known;
+        old.iter().for_each(|old| (*sum, *number) = (*sum - old, *number - 1.0));
+        latency.iter().for_each(|new| (*sum, *number) = (*sum + new, *number + 1.0));
+    }
+
+    /// Lists a searcher, or takes it off; what was known of one that is gone holds no more.
+    fn set_home(&mut self, searcher: Searcher, cell: u32, ready: bool) {
+        let seat = self.seat(searcher);
+        let (was_ready, old) = (replace(&mut seat.ready, ready), replace(&mut seat.cell, cell));
+        if was_ready {
+            self.homes.entry(old).or_default().retain(|other| *other != searcher);
         }
+        if ready {
+            self.homes.entry(cell).or_default().push(searcher);
+        } else {
+            self.set_latency(searcher, None);
+        }
+    }
+
+    /// The searchers that hold a shard and are listed ready.
+    fn holders(&self, shard: u32) -> impl Iterator<Item = Searcher> + '_ {
+        let cells = (0..self.width.min(self.cells)).map(move |j| (shard % self.cells + j) % self.cells);
+        cells.filter_map(|cell| self.homes.get(&cell)).flatten().copied()
     }
 
-    /// What a part is taken to cost a searcher: the shortest usual time, which holds little queue.
-    fn work(&self) -> Span {
-        Span::of_micros(self.shortest as u64)
+    /// It has started anew: what was known of it holds no more, but its next turn.
+    fn renew(&mut self, now: Moment, searcher: Searcher, since: Moment) {
+        let turn = self.chance.share();
+        self.set_latency(searcher, None);
+        let seat = self.seat(searcher);
+        let (last, turn) = seat.fresh.take().map_or((now, turn), |fresh| (fresh.last, fresh.turn));
+        seat.fresh = Some(Fresh { since, answers: 0, last, turn });
+    }
+
+    /// Smooths a latency in. An eighth, as in TCP: one odd part tells little. The longer nothing was heard,
+    /// the less the past counts, halved over a check interval: a mixer of many hears of a searcher seldom.
+    fn learn(&mut self, now: Moment, searcher: Searcher, sample: f64) {
+        let (shortest, fleet) = (self.shortest, self.cold.fleet);
+        let seat = self.seat(searcher);
+        let unheard = now.since(seat.heard).as_f64() / CHECK_EVERY.as_f64();
+        let part = (1.0 - (-unheard).exp2()).max(0.125);
+        let latency = seat.latency.map_or(sample, |old| old + (sample - old) * part);
+        seat.heard = now;
+        // Past one and a half times the shortest a queue stands: 1.25 to 2 did nearly as well, 3.2 worse. All
+        // mixers' limits add up at the searcher, so each grows and starts with its part of the fleet.
+        let ratio = (1.5 * shortest / latency).clamp(0.1, 1.0);
+        if ratio < 1.0 || seat.out.len() as f64 > seat.limit / 4.0 {
+            let aimed = seat.limit * ratio + (3.0 * seat.limit / fleet).sqrt();
+            seat.limit = (seat.limit + 0.1 * (aimed - seat.limit)).max(1.0);
+        }
+        self.set_latency(searcher, Some(latency));
     }
 
     fn note_time(&mut self, sample: f64) {
@@ -239,20 +267,19 @@
     /// The design's choice: least latency x (own parts out + 1), among replicas that are listed ready, not
     /// down, and not in `tried`. A down one gets a part only as the check it is due, or where nobody else is.
     fn place(&mut self, now: Moment, shard: u32, tried: &[Searcher]) -> Option<Searcher> {
-        let (average, work, count) = (self.average(), self.work(), self.seats.len());
-        let first = self.chance.below(count.max(1));
+        let average = self.average();
+        let mut holders: Vec<Searcher> = self.holders(shard).filter(|s| !tried.contains(s)).collect();
+        let first = self.chance.below(holders.len().max(1));
+        holders.rotate_left(first);
         let (mut best, mut full, mut last_hope) = (None::<(f64, Searcher)>, false, None);
-        for at in (0..count).map(|i| (first + i) % count) {
-            let (seat, searcher) = (&self.seats[at], Searcher(at as u32));
-            if !seat.ready || !self.holds(seat, shard) || tried.contains(&searcher) {
-                continue;
-            }
+        for searcher in holders {
+            let seat = &self.seats[searcher.0 as usize];
             if seat.down {
                 if !seat.checking && seat.next_check.is_none() {
                     return Some(searcher);
                 }
                 last_hope = last_hope.or((!seat.checking).then_some(searcher));
-            } else if !self.cold.has_room(seat, work, now) {
+            } else if !self.cold.has_room(seat, self.shortest, now) {
                 full = true;
             } else {
                 let score = seat.standing(now, average) * (seat.calls_out(self.per_call) + 1) as f64;
@@ -264,10 +291,6 @@
         best.map(|(_, searcher)| searcher).or(last_hope.filter(|_| !full))
     }
 
-    fn holds(&self, seat: &Seat, shard: u32) -> bool {
-        (seat.cell + self.cells - shard % self.cells) % self.cells < self.width
-    }
-
     /// Whether the replicas of a shard together have room under their limits for so many parts; where none is
     /// up, that is not for the door to say. Scans of little worth may fill less, at slow replicas the least:
     /// seven and three tenths lost nowhere. One too slow for the time left has none: against hurried clients
@@ -280,9 +303,9 @@
             let least = if standing > 2.0 * self.shortest { 0.3 } else { 0.7 };
             let room = s.limit * (least + (1.0 - least) * worth).min(1.0) - busy;
             let in_time = busy == 0.0 || standing * 1.5 < left;
-            f64::from(in_time && self.cold.has_room(s, self.work(), now)) * room.max(0.0).ceil()
+            f64::from(in_time && self.cold.has_room(s, self.shortest, now)) * room.max(0.0).ceil()
         };
-        let up = self.seats.iter().filter(|s| s.ready && !s.down && self.holds(s, shard)).map(free);
+        let up = self.holders(shard).map(|s| &self.seats[s.0 as usize]).filter(|s| !s.down).map(free);
         up.reduce(|a, b| a + b).is_none_or(|room| room >= parts as f64)
     }
 
@@ -301,12 +324,11 @@
         stale_after.is_some_and(|idle| seat.idle.as_f64() > idle)
     }
 
-    /// What a relay's end tells of its searcher. Failures read as the quoted time, so that one that fails
-    /// fast draws no parts by it: against errors, drops, full rooms. Hurts a searcher met by rare bad luck
-    /// for a few parts.
+    /// What a relay's end tells of its searcher. Failures read as the quoted time, so that who fails fast
+    /// draws no parts by it: against errors, drops, full rooms. Hurts one met by bad luck, for some parts.
     fn note_landed(&mut self, now: Moment, from: Searcher, sent: Moment, end: (Landing, Span), quoted: Span) {
         let (how, took) = (end.0, end.1.as_f64());
-        let (average, shortest, fleet) = (self.average(), self.shortest, self.cold.fleet);
+        let average = self.average();
         let seat = self.seat(from);
         seat.out.iter().position(|at| *at == sent).map(|at| seat.out.remove(at));
         seat.used = now;
@@ -314,17 +336,11 @@
         if matches!(how, Landing::Silent | Landing::CalledOff | Landing::TurnedAway) {
             seat.forsaken.push(sent);
         }
+        let in_vain = took > seat.latency.unwrap_or(average);
         match how {
-            Landing::Unsent | Landing::Unreached => {}
-            Landing::Silent | Landing::CalledOff => {
-                seat.heard = now;
-                if took > seat.latency.unwrap_or(average) {
-                    seat.learn(now, took, shortest, fleet);
-                }
-            }
             Landing::Honoured => {
-                seat.learn(now, took, shortest, fleet);
                 seat.fresh.iter_mut().for_each(|fresh| fresh.answers += 1);
+                self.learn(now, from, took);
                 self.note_time(took);
             }
             // A connection dropped as soon as it was used again had been closed while it lay idle.
@@ -333,20 +349,21 @@
                 self.stale_after = Some(self.stale_after.map_or(idle, |known| known.min(idle)));
             }
             Landing::Erred | Landing::TurnedAway | Landing::Dropped => {
-                seat.learn(now, quoted.as_f64().max(took), shortest, fleet);
+                self.learn(now, from, quoted.as_f64().max(took));
             }
+            Landing::Silent | Landing::CalledOff if in_vain => self.learn(now, from, took),
+            _ => {}
         }
     }
 
     /// A check passed: the searcher is taken for one that has just started, as a dead one will have.
     fn note_up(&mut self, now: Moment, searcher: Searcher) {
-        let turn = self.chance.share();
         let seat = self.seat(searcher);
-        if std::mem::take(&mut seat.down) {
+        (seat.checking, seat.next_check) = (false, None);
+        if take(&mut seat.down) {
             let since = seat.started.map_or(now, |at| if now.since(at) < CHECK_EVERY { at } else { now });
-            seat.renew(since, now, turn);
+            self.renew(now, searcher, since);
         }
-        (seat.checking, seat.next_check) = (false, None);
     }
 }
 
@@ -384,10 +401,7 @@
     fn elapsed(&mut self, traffic_type: usize, repeat: bool, left: Span, abandon: Span) -> Span {
         let longest = self.longest_left.entry(traffic_type).or_default();
         *longest = left.max(*longest);
-        match repeat && left < *longest {
-            true => abandon.less(left),
-            false => Span::ZERO,
-        }
+        abandon.less(if repeat && left < *longest { left } else { abandon })
     }
 
     /// A scan's credit for its work, against the best met: per part where credit does not grow with work.
@@ -424,16 +438,10 @@
 }
 
 impl Scan {
-    fn step(&self) -> &[Part] {
-        &self.parts[self.first..]
-    }
-
-    fn weight(&self, of: impl Fn(&Part) -> bool) -> f64 {
-        self.step().iter().filter(|p| of(p)).map(|p| p.taken.weight).sum()
-    }
-
-    fn whole_from(&self, kind: &TrafficType) -> f64 {
-        self.first_whole.map_or(kind.whole_from, |_| 1.0)
+    /// The weight honoured, and what would make the present step whole.
+    fn standing(&self, kind: &TrafficType) -> (f64, f64) {
+        let honoured = self.parts[self.first..].iter().filter(|p| p.honoured).map(|p| p.taken.weight).sum();
+        (honoured, self.first_whole.map_or(kind.whole_from, |_| 1.0))
     }
 }
 
@@ -480,23 +488,23 @@
     /// News of searchers; with `whole` it is the full list, and who is not in it is gone.
     pub fn listed(&mut self, host: &mut dyn Host, whole: bool, listings: &[Listing]) {
         let now = host.now();
-        if whole {
-            self.roster.seats.iter_mut().for_each(|seat| seat.ready = false);
+        let named: BTreeSet<Searcher> = listings.iter().map(|listing| listing.searcher).collect();
+        let all = (0..self.roster.seats.len() as u32).map(Searcher).filter(|_| whole);
+        for gone in all.filter(|searcher| !named.contains(searcher)) {
+            self.roster.set_home(gone, 0, false);
         }
-        for listing in listings {
-            while self.roster.seats.len() <= listing.searcher.0 as usize {
-                // A dozen for all mixers together: some for each core of a usual machine.
+        for &Listing { searcher, cell, ready, started } in listings {
+            // A dozen for all mixers together: some for each core of a usual machine.
+            while self.roster.seats.len() <= searcher.0 as usize {
                 self.roster.seats.push(Seat { limit: 12.0 / self.roster.cold.fleet, ..Seat::default() });
             }
-            let (cold, turn) = (self.roster.cold.cold, self.roster.chance.share());
-            let seat = self.roster.seat(listing.searcher);
-            (seat.cell, seat.ready) = (listing.cell, listing.ready);
-            let news = listing.started.filter(|at| seat.started != Some(*at) && now.since(*at) < cold);
-            seat.started = listing.started;
-            if let Some(started) = news {
-                seat.renew(started, now, turn);
-                if seat.down {
-                    self.check(host, listing.searcher);
+            self.roster.set_home(searcher, cell, ready);
+            let (cold, seat) = (self.roster.cold.cold, self.roster.seat(searcher));
+            let (before, down) = (replace(&mut seat.started, started), seat.down);
+            if let Some(since) = started.filter(|at| before != Some(*at) && now.since(*at) < cold) {
+                self.roster.renew(now, searcher, since);
+                if down {
+                    self.check(host, searcher);
                 }
             }
         }
@@ -506,19 +514,19 @@
     pub fn taken(&mut self, host: &mut dyn Host, id: ScanId, scan: ScanTaken) {
         let now = host.now();
         self.budget.note_taken(now, 1 + scan.parts.len());
-        let over = self.door.over_share(now, scan.customer);
         let Some(kind) = self.types.get(scan.traffic_type) else { return host.write_off(id) };
         let elapsed = self.door.elapsed(scan.traffic_type, scan.repeat, scan.left, kind.abandon);
         let quoted = kind.quoted + scan.work.unwrap_or(Span::ZERO) * kind.stretch;
         let late = elapsed + self.lead >= quoted;
         let quoted = if late { quoted } else { quoted.less(elapsed) };
-        let mut credit = if over { kind.credit * self.door.over_share_credit } else { kind.credit };
-        credit *= if late { kind.late_credit } else { 1.0 };
+        let over = if self.door.over_share(now, scan.customer) { self.door.over_share_credit } else { 1.0 };
+        let credit = kind.credit * over * if late { kind.late_credit } else { 1.0 };
         let worth = self.door.worth(credit, scan.parts.len());
         let patience = quoted.min(scan.left).less(self.lead);
-        let home = |p: &PartTaken| p.shard % self.roster.cells;
-        let beside = |p: &PartTaken| scan.parts.iter().filter(|other| home(other) == home(p)).count();
-        let fits = |p: &&PartTaken| self.roster.room(now, patience, p.shard, worth, beside(p));
+        let (mut beside, cells) = (BTreeMap::new(), self.roster.cells);
+        scan.parts.iter().for_each(|p| *beside.entry(p.shard % cells).or_insert(0) += 1);
+        let fits =
+            |p: &&PartTaken| self.roster.room(now, patience, p.shard, worth, beside[&(p.shard % cells)]);
         let room = scan.parts.iter().filter(fits).map(|p| p.weight).sum::<f64>();
         if patience == Span::ZERO || (late && kind.late_credit <= 0.0) || room + SLACK < kind.floor {
             return host.bounce(id, self.door.pause);
@@ -562,17 +570,15 @@
 
     /// A check's result.
     pub fn checked(&mut self, host: &mut dyn Host, searcher: Searcher, there: bool) {
-        match there {
-            true => self.roster.note_up(host.now(), searcher),
-            false => self.check_later(host, searcher),
+        if there {
+            return self.roster.note_up(host.now(), searcher);
         }
+        self.check_later(host, searcher);
     }
 
     /// The client is gone: nothing is owed any more.
     pub fn client_left(&mut self, host: &mut dyn Host, id: ScanId) {
-        if let Some(scan) = self.scans.remove(&id) {
-            self.call_off_all(host, &scan);
-        }
+        self.scans.remove(&id).iter().for_each(|scan| self.call_off_all(host, scan));
     }
 
     fn later(&mut self, host: &mut dyn Host, wait: Span, then: impl Fn(&mut Self, &mut dyn Host) + 'static) {
@@ -648,11 +654,9 @@
         };
         let allowed = part.tried.len() < self.relay_cap
             && self.roster.room(now, scan.ends.since(now), part.taken.shard, 0.0, 1);
-        if harmless && allowed {
-            let place = self.roster.place(now, part.taken.shard, &part.tried);
-            if let Some(to) = place.filter(|_| self.budget.spend(now)) {
-                self.relay(host, id, at, to);
-            }
+        let place = (harmless && allowed).then(|| self.roster.place(now, part.taken.shard, &part.tried));
+        if let Some(to) = place.flatten().filter(|_| self.budget.spend(now)) {
+            self.relay(host, id, at, to);
         }
     }
 
@@ -660,15 +664,12 @@
     /// can no longer reach what may be answered is ended as well, so that its client knows at once.
     fn settle(&mut self, host: &mut dyn Host, id: ScanId) {
         let Some(scan) = self.scans.get(&id) else { return };
-        if scan.step().is_empty() && scan.first_whole.is_some() {
-            return;
-        }
-        let kind = &self.types[scan.traffic_type];
-        let honoured = scan.weight(|p| p.honoured);
-        let hope = scan.weight(|p| !p.lost);
-        let all = scan.step().iter().all(|p| p.honoured || p.lost);
-        let whole_from = scan.whole_from(kind);
-        if all || honoured + SLACK >= whole_from || hope + SLACK < kind.floor {
+        let (step, kind) = (&scan.parts[scan.first..], &self.types[scan.traffic_type]);
+        let (honoured, whole_from) = scan.standing(kind);
+        let hope: f64 = step.iter().filter(|p| !p.lost).map(|p| p.taken.weight).sum();
+        let all = step.iter().all(|p| p.honoured || p.lost);
+        let waits = step.is_empty() && scan.first_whole.is_some();
+        if !waits && (all || honoured + SLACK >= whole_from || hope + SLACK < kind.floor) {
             self.close(host, id);
         }
     }
@@ -678,8 +679,7 @@
         let Some(mut scan) = self.scans.remove(&id) else { return };
         self.call_off_all(host, &scan);
         let kind = &self.types[scan.traffic_type];
-        let honoured = scan.weight(|p| p.honoured);
-        let whole_from = scan.whole_from(kind);
+        let (honoured, whole_from) = scan.standing(kind);
         let whole = honoured + SLACK >= whole_from && scan.first_whole != Some(false);
         let floor = if kind.floor < kind.whole_from || scan.first_whole.is_none() { kind.floor } else { 1.0 };
         let last = !kind.second_step || scan.first_whole.is_some();
@@ -710,9 +710,7 @@
                 seat.down = true;
                 self.check_later(host, searcher);
             }
-            Landing::Honoured | Landing::Erred | Landing::TurnedAway => {
-                self.roster.note_up(host.now(), searcher)
-            }
+            Landing::Honoured | Landing::Erred | Landing::TurnedAway => self.checked(host, searcher, true),
             _ if seat.checking && how != Landing::Unreached => self.check_later(host, searcher),
             _ => {}
         }
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -108,7 +108,13 @@
 }
 
 pub fn story_with(kind: TrafficType, budget: RelayBudget, may_check: bool) -> Story {
-    let cold = ColdCare::new(2, 0.2, Span::of_millis(18_000), 2.0, Span::of_millis(2_000));
+    let cold = ColdCare {
+        fleet: 2.0,
+        from: 0.2,
+        cold: Span::of_millis(18_000),
+        multiple: 2.0,
+        fall: Span::of_millis(2_000),
+    };
     let roster = Roster::new(7, 1, 1, 1, may_check, cold);
     let door = Door::new(2, &[1000.0], 0.1, true, Span::of_millis(500));
     let mixer = Mixer::new(vec![kind], roster, budget, door, Span::of_millis(5)).allowing(3, true);
