Stop a scan that kills, find silent reaping, try jammed searchers by turns, read failures by type

Causes found and what answers each:

Told from reaped connections by the time to the drop (5 to 50 ms for 0.5 ms), from a crash by two and more searchers dying under one scan. A scan under whose parts two died is carried no further and written off. - Silent reaping. - Failures are a share by traffic type beside the latency, so that they no longer read as slowness at the door.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,8 +7,9 @@
 //! or at its one timer. Each step leaves a closure, and the step's result is handed to it.
 //!
 //! Beside the design stand six mechanisms:
-//! 1. failures and parts in vain read as latency (`Roster::note_landed`)
-//! 2. a failed part goes to another replica, within a budget (`Mixer::relay_again`, `RelayBudget`)
+//! 1. failures, silence and parts in vain read as latency (`Roster::note_landed`, `Roster::standing`)
+//! 2. a failed part goes to another replica, within a budget, unless its scan brings searchers down; while
+//!    they die, one part goes ahead of its scan (`Mixer::relay_again`, `RelayBudget`, `Mixer::send_out`)
 //! 3. a fresh searcher's cap, which grows with its answers (`ColdCare`)
 //! 4. a limit on what is in flight at each searcher; what finds no room is turned away, least credit first:
 //!    scans, and the light parts of scans that may do without (`Roster::room`, `Door`, `Mixer::send_out`)
@@ -23,6 +24,9 @@
 /// What to do with a result, left behind by the step that asked for it.
 type Then<R> = Box<dyn FnOnce(&mut Mixer, &mut dyn Host, R)>;
 
+/// A traffic type, by its index and its quoted time.
+type Sort = (usize, Span);
+
 /// A permuted congruential generator (PCG-XSH-RR 64/32), for ties and turns.
 #[derive(Default)]
 struct Chance(u64);
@@ -34,16 +38,14 @@
         let mixed = ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32);
         ((u64::from(mixed) * n as u64) >> 32) as usize
     }
-
-    fn share(&mut self) -> f64 {
-        self.below(1 << 20) as f64 / f64::from(1 << 20)
-    }
 }
 
 /// Rule 6: relays beyond each part's first, in any window, number at most a few and a share of what was
 /// taken in it. Where no budget is stated our own stands, so that trouble never doubles the load.
 #[derive(Default)]
 pub struct RelayBudget {
+    /// Relays that one part may have.
+    cap: usize,
     few: f64,
     share: f64,
     window: Span,
@@ -53,13 +55,10 @@
 }
 
 impl RelayBudget {
-    pub fn stated(few: f64, share: f64, window: Span) -> Self {
-        Self { few, share, window, ..Self::default() }
-    }
-
-    /// A fifth of the parts covers the loss of one searcher in five; ten seconds outlast a pause.
-    pub fn unstated() -> Self {
-        Self::stated(10.0, 0.2, Span::of_millis(10_000))
+    /// Unstated: a fifth of the parts covers the loss of one searcher in five; ten seconds outlast a pause.
+    pub fn new(cap: usize, stated: Option<(f64, f64, Span)>) -> Self {
+        let (few, share, window) = stated.unwrap_or((10.0, 0.2, Span::of_millis(10_000)));
+        Self { cap, few, share, window, ..Self::default() }
     }
 
     fn note_taken(&mut self, now: Moment, count: usize) {
@@ -95,73 +94,61 @@
 impl ColdCare {
     /// Guards against toppling a searcher that just started, or came back from any failure to connect. Hurts
     /// when it was only out of reach. Its cap in flight starts at one and grows with each answer; its parts
-    /// come at this mixer's share of the rule's pace, the first after a wait by chance: where many mixers
-    /// share, that is less than one part in the rule's window. Two cores are taken for its size, never told;
-    /// half the pace, as several mixers' turns may fall together.
+    /// come at this mixer's share of the rule's pace, the first after a wait by chance, as many mixers share.
+    /// Two cores are taken for its size, never told; half the pace, as turns may fall together.
     fn has_room(&self, seat: &Seat, work: f64, now: Moment) -> bool {
-        let Some(fresh) = &seat.fresh else { return true };
-        let age = now.since(fresh.since).less(self.fall).as_f64() / self.cold.as_f64().max(1.0);
-        let grown = self.from + (1.0 - self.from) * age.min(1.0);
-        let saved = now.since(fresh.last).as_f64() * 0.5 * 2.0 * self.multiple * grown / self.fleet;
-        seat.out.len() <= fresh.answers && saved >= fresh.turn * work
+        let fresh = seat.fresh.filter(|(since, _)| now.since(*since) <= self.cold + self.fall);
+        let Some((since, answers)) = fresh else { return true };
+        let age = now.since(since).less(self.fall).as_f64() / self.cold.as_f64().max(1.0);
+        let pace = 0.5 * 2.0 * self.multiple * (self.from + (1.0 - self.from) * age.min(1.0));
+        seat.out.len() <= answers && seat.has_turn(now, work * self.fleet / pace)
     }
 }
 
-/// A searcher's first while after a start.
-struct Fresh {
-    since: Moment,
-    answers: usize,
-    /// When it was last sent a part, or first heard of, and the share of a part's pace to wait from then.
-    last: Moment,
-    turn: f64,
-}
-
 /// One searcher as this mixer knows it.
 #[derive(Default)]
 struct Seat {
     cell: u32,
     ready: bool,
     started: Option<Moment>,
-    fresh: Option<Fresh>,
+    /// When it started, and its answers since.
+    fresh: Option<(Moment, usize)>,
     latency: Option<f64>,
+    /// The share of relays that failed, for each traffic type.
+    failing: Vec<f64>,
     /// How many relays it may have in flight before scans are turned away.
     limit: f64,
     /// When the relays left that are out; emptied as they land.
     out: Vec<Moment>,
-    /// When relays left that nobody waits for but that may run on there, or that found its room full; emptied
-    /// by an answer to a later one, or after a check interval.
-    forsaken: Vec<Moment>,
+    /// When a relay last told anything, when one last brought anything back, when one was last sent.
     heard: Moment,
-    /// When its connection was last used, and how long it had lain idle before.
-    used: Moment,
-    idle: Span,
-    down: bool,
-    checking: bool,
-    /// When it is to be checked; none while a check is out or, without probes, due.
-    next_check: Option<Moment>,
+    stood: Moment,
+    sent: Moment,
+    /// Where parts are sent by turns: the share of a turn to wait from the last.
+    turn: f64,
+    /// Down: when it is to be checked next.
+    down: Option<Moment>,
 }
 
 impl Seat {
-    /// Work of ours that it has or may have.
-    fn busy(&self, now: Moment) -> f64 {
-        let forsaken = self.forsaken.iter().filter(|at| now.since(**at) < CHECK_EVERY);
-        (self.out.len() + forsaken.count()) as f64
-    }
-
     /// Own parts out, by call where parts that left together share one.
     fn calls_out(&self, per_call: usize) -> usize {
         self.out.chunk_by(|a, b| a == b).map(|call| call.len().div_ceil(per_call.max(1))).sum()
     }
 
-    /// The latency to choose by: the smoothed one. What is long unheard drifts to the average, as the unheard
-    /// are, so that a searcher once slow is tried again; halved over the design's check interval.
-    fn standing(&self, now: Moment, average: f64) -> f64 {
-        let until = if self.out.is_empty() { self.heard } else { now };
-        let unheard = now.since(until).as_f64() / CHECK_EVERY.as_f64();
-        average + (self.latency.unwrap_or(average) - average) * (-unheard).exp2()
+    fn has_turn(&self, now: Moment, every: f64) -> bool {
+        now.since(self.sent).as_f64() >= self.turn * every
     }
 }
 
+/// A relay under way: where to, since when, how long nothing had come over its connection (by class).
+struct Leg {
+    to: Searcher,
+    left: Moment,
+    pause: usize,
+    sort: Sort,
+}
+
 /// How often a searcher that is down is checked: the design page's figure.
 const CHECK_EVERY: Span = Span::of_millis(5_000);
 
@@ -183,8 +170,11 @@
     typical: f64,
     /// The shortest that the smoothed time has been of late: what a part is taken to cost, with little queue.
     shortest: f64,
-    /// How long a connection may lie idle before it is not trusted; found out.
-    stale_after: Option<f64>,
+    /// When a searcher last died under a part.
+    last_death: Option<Moment>,
+    /// The share of relays lost or in vain, by how long nothing had come over their connection: less than a
+    /// quarter of a second, and twice as long from each to the next.
+    vain: [f64; 8],
 }
 
 impl Roster {
@@ -212,13 +202,14 @@
     /// Lists a searcher, or takes it off; what was known of one that is gone holds no more.
     fn set_home(&mut self, searcher: Searcher, cell: u32, ready: bool) {
         let seat = self.seat(searcher);
-        let (was_ready, old) = (replace(&mut seat.ready, ready), replace(&mut seat.cell, cell));
-        if was_ready {
+        let old = replace(&mut seat.cell, cell);
+        if replace(&mut seat.ready, ready) {
             self.homes.entry(old).or_default().retain(|other| *other != searcher);
         }
         if ready {
             self.homes.entry(cell).or_default().push(searcher);
         } else {
+            self.seat(searcher).down = None;
             self.set_latency(searcher, None);
         }
     }
@@ -229,141 +220,144 @@
         cells.filter_map(|cell| self.homes.get(&cell)).flatten().copied()
     }
 
-    /// It has started anew: what was known of it holds no more, but its next turn.
+    /// It has started anew: what was known of it holds no more. Its first turn comes by chance.
     fn renew(&mut self, now: Moment, searcher: Searcher, since: Moment) {
-        let turn = self.chance.share();
+        let turn = self.chance.below(1 << 20) as f64 / f64::from(1 << 20);
         self.set_latency(searcher, None);
         let seat = self.seat(searcher);
-        let (last, turn) = seat.fresh.take().map_or((now, turn), |fresh| (fresh.last, fresh.turn));
-        seat.fresh = Some(Fresh { since, answers: 0, last, turn });
+        if seat.fresh.replace((since, 0)).is_none() {
+            (seat.sent, seat.turn) = (now, turn);
+        }
+    }
+
+    /// The latency to choose by: the smoothed one, or the age of the oldest part out, so that a hang is seen
+    /// before the timer. What is long unheard drifts to the average, as the unheard are, to be tried again.
+    fn standing(&self, now: Moment, seat: &Seat) -> f64 {
+        let (average, waits) = (self.average(), seat.out.first().map_or(Span::ZERO, |at| now.since(*at)));
+        let known = seat.latency.unwrap_or(average);
+        (average + (known - average) * self.fading(now, seat)).max(waits.as_f64())
     }
 
-    /// Smooths a latency in. An eighth, as in TCP: one odd part tells little. The longer nothing was heard,
-    /// the less the past counts, halved over a check interval: a mixer of many hears of a searcher seldom.
-    fn learn(&mut self, now: Moment, searcher: Searcher, sample: f64) {
+    /// How much of what is known still holds: halved over the check interval, longer where mixers are many.
+    fn fading(&self, now: Moment, seat: &Seat) -> f64 {
+        let until = if seat.out.is_empty() { seat.heard } else { now };
+        (-now.since(until).as_f64() / (CHECK_EVERY.as_f64() + self.cold.fleet * self.shortest)).exp2()
+    }
+
+    /// Smooths in what a relay's end tells. An eighth, as in TCP: one odd part tells little; and the longer
+    /// nothing was heard, the less the past counts.
+    fn learn(&mut self, now: Moment, searcher: Searcher, kind: usize, sample: Option<f64>, failed: bool) {
         let (shortest, fleet) = (self.shortest, self.cold.fleet);
+        let held = self.fading(now, &self.seats[searcher.0 as usize]);
         let seat = self.seat(searcher);
-        let unheard = now.since(seat.heard).as_f64() / CHECK_EVERY.as_f64();
-        let part = (1.0 - (-unheard).exp2()).max(0.125);
-        let latency = seat.latency.map_or(sample, |old| old + (sample - old) * part);
+        let part = (1.0 - held).max(0.125);
         seat.heard = now;
-        // Past one and a half times the shortest a queue stands: 1.25 to 2 did nearly as well, 3.2 worse. All
-        // mixers' limits add up at the searcher, so each grows and starts with its part of the fleet.
-        let ratio = (1.5 * shortest / latency).clamp(0.1, 1.0);
-        if ratio < 1.0 || seat.out.len() as f64 > seat.limit / 4.0 {
-            let aimed = seat.limit * ratio + (3.0 * seat.limit / fleet).sqrt();
-            seat.limit = (seat.limit + 0.1 * (aimed - seat.limit)).max(1.0);
+        seat.failing.resize(seat.failing.len().max(kind + 1), 0.0);
+        seat.failing[kind] += (f64::from(failed) - seat.failing[kind]) * part;
+        if let Some(sample) = sample {
+            let latency = seat.latency.map_or(sample, |old| old + (sample - old) * part);
+            // Past one and a half times the shortest a queue stands: 1.25 to 2 did nearly as well, 3.2 worse.
+            // All mixers' limits add up at the searcher, so each grows and starts with its part of the fleet.
+            let ratio = (1.5 * shortest / latency).clamp(0.1, 1.0);
+            if ratio < 1.0 || seat.out.len() as f64 > seat.limit / 4.0 {
+                let aimed = seat.limit * ratio + (3.0 * seat.limit / fleet).sqrt();
+                seat.limit = (seat.limit + 0.1 * (aimed - seat.limit)).max(3.0);
+            }
+            self.set_latency(searcher, Some(latency));
         }
-        self.set_latency(searcher, Some(latency));
-    }
-
-    fn note_time(&mut self, sample: f64) {
-        // A twentieth: the last twenty parts or so, some seconds of one mixer's scans.
-        self.typical += 0.05 * (sample - self.typical);
-        // It may rise by half in some hundred answers, should the work itself have grown.
-        self.shortest = (self.shortest * 1.0005).min(self.typical);
     }
 
     /// The design's choice: least latency x (own parts out + 1), among replicas that are listed ready, not
-    /// down, and not in `tried`. A down one gets a part only as the check it is due, or where nobody else is.
-    fn place(&mut self, now: Moment, shard: u32, tried: &[Searcher]) -> Option<Searcher> {
-        let average = self.average();
+    /// down, and not in `tried`; a down one gets a part as its check where there are no probes. Failures read
+    /// as the quoted time, by their share among parts of the sort, so that who fails fast draws no parts by
+    /// it: against errors, drops, full rooms, failing one sort alone. Hurts one met by bad luck, for a while.
+    fn place(&mut self, now: Moment, shard: u32, sort: Sort, tried: &[Searcher]) -> Option<Searcher> {
         let mut holders: Vec<Searcher> = self.holders(shard).filter(|s| !tried.contains(s)).collect();
         let first = self.chance.below(holders.len().max(1));
         holders.rotate_left(first);
-        let (mut best, mut full, mut last_hope) = (None::<(f64, Searcher)>, false, None);
-        for searcher in holders {
+        let score = |searcher: Searcher| {
             let seat = &self.seats[searcher.0 as usize];
-            if seat.down {
-                if !seat.checking && seat.next_check.is_none() {
-                    return Some(searcher);
-                }
-                last_hope = last_hope.or((!seat.checking).then_some(searcher));
-            } else if !self.cold.has_room(seat, self.shortest, now) {
-                full = true;
-            } else {
-                let score = seat.standing(now, average) * (seat.calls_out(self.per_call) + 1) as f64;
-                if best.is_none_or(|(least, _)| score < least) {
-                    best = Some((score, searcher));
-                }
+            let standing = self.standing(now, seat);
+            let failing = seat.failing.get(sort.0).map_or(0.0, |share| share * self.fading(now, seat));
+            let latency = standing + failing * (sort.1.as_f64() - standing).max(0.0);
+            match seat.down {
+                Some(due) => (!self.may_check && now >= due).then_some((0.0, searcher)),
+                None if !self.cold.has_room(seat, self.shortest, now) => None,
+                None => Some((latency * (seat.calls_out(self.per_call) + 1) as f64, searcher)),
             }
-        }
-        best.map(|(_, searcher)| searcher).or(last_hope.filter(|_| !full))
+        };
+        let best = holders.into_iter().filter_map(score).min_by(|a, b| a.0.total_cmp(&b.0));
+        best.map(|(_, searcher)| searcher)
     }
 
     /// Whether the replicas of a shard together have room under their limits for so many parts; where none is
     /// up, that is not for the door to say. Scans of little worth may fill less, at slow replicas the least:
     /// seven and three tenths lost nowhere. One too slow for the time left has none: against hurried clients
-    /// and slow shards, whose parts would run in vain. Hurts where latencies lag a recovery; so one part at a
-    /// time is let in. Half as long again as usual is what the slowest of a few parts takes.
+    /// and jammed shards, whose parts would run in vain. The slowest of a few takes half as long again. Where
+    /// mixers are many their limits hardly bind: little worth counts on less of its time. Hurts where
+    /// latencies lag a recovery; so one part at a time is let in, by turns of the fleet.
     fn room(&self, now: Moment, left: Span, shard: u32, worth: f64, parts: usize) -> bool {
-        let (average, left) = (self.average(), left.as_f64());
+        let left = left.as_f64() * (0.5 + 0.5 * worth).max(4.0 / self.cold.fleet).min(1.0);
         let free = |s: &Seat| {
-            let (standing, busy) = (s.standing(now, average), s.busy(now));
+            let standing = self.standing(now, s);
             let least = if standing > 2.0 * self.shortest { 0.3 } else { 0.7 };
-            let room = s.limit * (least + (1.0 - least) * worth).min(1.0) - busy;
-            let in_time = busy == 0.0 || standing * 1.5 < left;
-            f64::from(in_time && self.cold.has_room(s, self.shortest, now)) * room.max(0.0).ceil()
+            let room = s.limit * (least + (1.0 - least) * worth).min(1.0) - s.out.len() as f64;
+            let turn = s.out.is_empty() && s.has_turn(now, self.cold.fleet * self.shortest);
+            let open = (turn || standing * 1.5 < left) && self.cold.has_room(s, self.shortest, now);
+            f64::from(open) * room.max(0.0).ceil()
         };
-        let up = self.holders(shard).map(|s| &self.seats[s.0 as usize]).filter(|s| !s.down).map(free);
-        up.reduce(|a, b| a + b).is_none_or(|room| room >= parts as f64)
-    }
-
-    /// Notes a relay, and tells whether its connection is to be trusted no more. Guards against any that
-    /// something on the way closes unseen while they lie idle: they are shut before they are used again.
-    /// Hurts where a drop had another cause: some needless new connections.
-    fn note_sent(&mut self, now: Moment, searcher: Searcher) -> bool {
-        let (stale_after, cold, fall) = (self.stale_after, self.cold.cold, self.cold.fall);
-        let seat = self.seat(searcher);
-        seat.idle = if seat.out.is_empty() { now.since(seat.used) } else { Span::ZERO };
-        seat.used = now;
+        let up = self.holders(shard).map(|s| &self.seats[s.0 as usize]).filter(|s| s.down.is_none());
+        up.map(free).reduce(|a, b| a + b).is_none_or(|room| room >= parts as f64)
+    }
+
+    /// Notes a relay, and tells whether its connection is to be trusted no more: where relays after so long a
+    /// pause, or less, are lost oftener by a quarter than those after none. Guards against whatever closes
+    /// connections unseen while they lie idle, by reset or by silence: they are shut before they are used.
+    /// Each time makes a trial likelier. Hurts where parts were lost otherwise: new connections.
+    fn note_sent(&mut self, now: Moment, searcher: Searcher, sort: Sort) -> (Leg, bool) {
+        let seat = &mut self.seats[searcher.0 as usize];
+        let quarters = now.since(seat.stood).micros() / 250_000;
+        let pause = (u64::BITS - quarters.leading_zeros()).min(7) as usize;
         seat.out.push(now);
-        seat.checking |= seat.down;
-        seat.fresh = seat.fresh.take().filter(|fresh| now.since(fresh.since) <= cold + fall);
-        seat.fresh.iter_mut().for_each(|fresh| (fresh.last, fresh.turn) = (now, 1.0));
-        stale_after.is_some_and(|idle| seat.idle.as_f64() > idle)
-    }
-
-    /// What a relay's end tells of its searcher. Failures read as the quoted time, so that who fails fast
-    /// draws no parts by it: against errors, drops, full rooms. Hurts one met by bad luck, for some parts.
-    fn note_landed(&mut self, now: Moment, from: Searcher, sent: Moment, end: (Landing, Span), quoted: Span) {
-        let (how, took) = (end.0, end.1.as_f64());
-        let average = self.average();
-        let seat = self.seat(from);
-        seat.out.iter().position(|at| *at == sent).map(|at| seat.out.remove(at));
-        seat.used = now;
-        seat.forsaken.retain(|at| now.since(*at) < CHECK_EVERY && !(how == Landing::Honoured && *at <= sent));
-        if matches!(how, Landing::Silent | Landing::CalledOff | Landing::TurnedAway) {
-            seat.forsaken.push(sent);
+        (seat.sent, seat.turn, seat.down) = (now, 1.0, seat.down.map(|_| now + CHECK_EVERY));
+        let usual = self.vain[0] + 0.25;
+        let stale = self.vain[1..=pause].iter().any(|share| *share > usual);
+        self.vain[1..=pause].iter_mut().filter(|share| **share > usual).for_each(|share| *share *= 0.99);
+        (Leg { to: searcher, left: now, pause: if stale { 0 } else { pause }, sort }, stale)
+    }
+
+    /// What a relay's end tells of its searcher, and whether that seems to have died under the part.
+    fn note_landed(&mut self, now: Moment, leg: &Leg, how: Landing, took: f64) -> bool {
+        let (from, pause, kind, average) = (leg.to, leg.pause, leg.sort.0, self.average());
+        let seat = &mut self.seats[from.0 as usize];
+        seat.out.iter().position(|at| *at == leg.left).map(|at| seat.out.remove(at));
+        let back = matches!(how, Landing::Honoured | Landing::Erred | Landing::TurnedAway);
+        let longer = took > seat.latency.unwrap_or(average);
+        let in_vain = longer && matches!(how, Landing::Silent | Landing::CalledOff);
+        let lost = in_vain || how == Landing::Dropped;
+        seat.stood = if back { now } else { seat.stood };
+        if back || lost {
+            self.vain[pause] += (f64::from(lost) - self.vain[pause]) / 8.0;
         }
-        let in_vain = took > seat.latency.unwrap_or(average);
+        // Dropped as soon as it was used again, it had been closed before; so too where that is known.
+        let idle = pause > 0 && (took * 20.0 < self.shortest || self.vain[pause] > self.vain[0] + 0.25);
         match how {
+            _ if lost && idle => return false,
             Landing::Honoured => {
-                seat.fresh.iter_mut().for_each(|fresh| fresh.answers += 1);
-                self.learn(now, from, took);
-                self.note_time(took);
-            }
-            // A connection dropped as soon as it was used again had been closed while it lay idle.
-            Landing::Dropped if seat.idle.as_f64() > took * 20.0 => {
-                let idle = seat.idle.as_f64() * 0.9;
-                self.stale_after = Some(self.stale_after.map_or(idle, |known| known.min(idle)));
+                seat.fresh.iter_mut().for_each(|(_, answers)| *answers += 1);
+                self.learn(now, from, kind, Some(took), false);
+                // A twentieth: the last twenty parts or so, some seconds of one mixer's scans.
+                self.typical += 0.05 * (took - self.typical);
+                // It may rise by half in some hundred answers, should the work itself have grown.
+                self.shortest = (self.shortest * 1.0005).min(self.typical);
             }
-            Landing::Erred | Landing::TurnedAway | Landing::Dropped => {
-                self.learn(now, from, quoted.as_f64().max(took));
-            }
-            Landing::Silent | Landing::CalledOff if in_vain => self.learn(now, from, took),
+            Landing::TurnedAway => self.learn(now, from, kind, Some(leg.sort.1.as_f64()), true),
+            Landing::Erred | Landing::Dropped => self.learn(now, from, kind, None, true),
+            _ if in_vain => self.learn(now, from, kind, Some(took), true),
             _ => {}
         }
-    }
-
-    /// A check passed: the searcher is taken for one that has just started, as a dead one will have.
-    fn note_up(&mut self, now: Moment, searcher: Searcher) {
-        let seat = self.seat(searcher);
-        (seat.checking, seat.next_check) = (false, None);
-        if take(&mut seat.down) {
-            let since = seat.started.map_or(now, |at| if now.since(at) < CHECK_EVERY { at } else { now });
-            self.renew(now, searcher, since);
-        }
+        self.last_death = if how == Landing::Dropped { Some(now) } else { self.last_death };
+        how == Landing::Dropped
     }
 }
 
@@ -425,12 +419,17 @@
 }
 
 /// An open scan.
+#[derive(Default)]
 struct Scan {
     traffic_type: usize,
     worth: f64,
     /// When the one timer ends the wait.
     ends: Moment,
     parts: Vec<Part>,
+    /// How many searchers seem to have died under its parts.
+    deaths: usize,
+    /// One part went ahead, the others wait.
+    held: bool,
     /// Where the present step's parts begin.
     first: usize,
     /// At a second step: whether the first was whole.
@@ -438,8 +437,8 @@
 }
 
 impl Scan {
-    /// The weight honoured, and what would make the present step whole.
-    fn standing(&self, kind: &TrafficType) -> (f64, f64) {
+    /// The weight honoured, and what makes the present step whole.
+    fn reached(&self, kind: &TrafficType) -> (f64, f64) {
         let honoured = self.parts[self.first..].iter().filter(|p| p.honoured).map(|p| p.taken.weight).sum();
         (honoured, self.first_whole.map_or(kind.whole_from, |_| 1.0))
     }
@@ -451,9 +450,6 @@
     roster: Roster,
     budget: RelayBudget,
     door: Door,
-    /// Relays that one part may have.
-    relay_cap: usize,
-    may_call_off: bool,
     lead: Span,
     /// Open scans; each leaves with its final answer.
     scans: BTreeMap<ScanId, Scan>,
@@ -472,12 +468,6 @@
         mixer
     }
 
-    /// What the deployment allows a part: so many relays, and to call one off.
-    pub fn allowing(mut self, relay_cap: usize, may_call_off: bool) -> Self {
-        (self.relay_cap, self.may_call_off) = (relay_cap.max(1), may_call_off);
-        self
-    }
-
     /// Keeps the list watched where it has to be asked for. Where the watch broke or could not be had it asks
     /// again, after a pause that lets a busy list recover.
     pub fn watch(&mut self, host: &mut dyn Host, again: bool) {
@@ -494,18 +484,16 @@
             self.roster.set_home(gone, 0, false);
         }
         for &Listing { searcher, cell, ready, started } in listings {
-            // A dozen for all mixers together: some for each core of a usual machine.
+            // A dozen for all mixers together, some for each core of a usual machine; three for each mixer.
+            let limit = (12.0 / self.roster.cold.fleet).max(3.0);
             while self.roster.seats.len() <= searcher.0 as usize {
-                self.roster.seats.push(Seat { limit: 12.0 / self.roster.cold.fleet, ..Seat::default() });
+                self.roster.seats.push(Seat { limit, ..Seat::default() });
             }
             self.roster.set_home(searcher, cell, ready);
             let (cold, seat) = (self.roster.cold.cold, self.roster.seat(searcher));
-            let (before, down) = (replace(&mut seat.started, started), seat.down);
+            let before = replace(&mut seat.started, started);
             if let Some(since) = started.filter(|at| before != Some(*at) && now.since(*at) < cold) {
                 self.roster.renew(now, searcher, since);
-                if down {
-                    self.check(host, searcher);
-                }
             }
         }
     }
@@ -523,20 +511,21 @@
         let credit = kind.credit * over * if late { kind.late_credit } else { 1.0 };
         let worth = self.door.worth(credit, scan.parts.len());
         let patience = quoted.min(scan.left).less(self.lead);
-        let (mut beside, cells) = (BTreeMap::new(), self.roster.cells);
-        scan.parts.iter().for_each(|p| *beside.entry(p.shard % cells).or_insert(0) += 1);
-        let fits =
-            |p: &&PartTaken| self.roster.room(now, patience, p.shard, worth, beside[&(p.shard % cells)]);
-        let room = scan.parts.iter().filter(fits).map(|p| p.weight).sum::<f64>();
+        let (mut beside, home) = (BTreeMap::new(), |p: &PartTaken| p.shard % self.roster.cells);
+        scan.parts.iter().for_each(|p| *beside.entry(home(p)).or_insert(0) += 1);
+        let fits = |p: &&PartTaken| self.roster.room(now, patience, p.shard, worth, beside[&home(p)]);
+        let room: f64 = scan.parts.iter().filter(fits).map(|p| p.weight).sum();
         if patience == Span::ZERO || (late && kind.late_credit <= 0.0) || room + SLACK < kind.floor {
             return host.bounce(id, self.door.pause);
         }
         // Of two steps, the first may take half of the time.
-        let first_wait = if kind.second_step { patience * 0.5 } else { patience };
+        let wait = patience * if kind.second_step { 0.5 } else { 1.0 };
+        // Deaths that come once in a while are one cause: ten seconds outlast the time between them.
+        let held = self.roster.last_death.is_some_and(|at| now.since(at) < Span::of_millis(10_000));
         let parts = scan.parts.iter().map(|taken| Part { taken: *taken, ..Part::default() }).collect();
         let (traffic_type, ends) = (scan.traffic_type, now + patience);
-        self.scans.insert(id, Scan { traffic_type, worth, ends, parts, first: 0, first_whole: None });
-        self.later(host, first_wait, move |mixer, host| {
+        self.scans.insert(id, Scan { traffic_type, worth, ends, parts, held, ..Scan::default() });
+        self.later(host, wait, move |mixer, host| {
             if mixer.scans.get(&id).is_some_and(|scan| scan.first_whole.is_none()) {
                 mixer.close(host, id);
             }
@@ -556,24 +545,23 @@
 
     /// A relay ended.
     pub fn landed(&mut self, host: &mut dyn Host, relay: Ticket, how: Landing, took: Span) {
-        if let Some(then) = self.landings.try_remove(relay.0 as usize) {
-            then(self, host, (how, took));
-        }
+        let then = self.landings.try_remove(relay.0 as usize).into_iter();
+        then.for_each(|then| then(self, host, (how, took)));
     }
 
     /// A time asked for has come.
     pub fn woken(&mut self, host: &mut dyn Host, ticket: Ticket) {
-        if let Some(then) = self.wakes.try_remove(ticket.0 as usize) {
-            then(self, host, ());
-        }
+        self.wakes.try_remove(ticket.0 as usize).into_iter().for_each(|then| then(self, host, ()));
     }
 
-    /// A check's result.
+    /// A check's result: one that failed is made again when due; a searcher that passed is taken for one that
+    /// has just started, as a dead one will have.
     pub fn checked(&mut self, host: &mut dyn Host, searcher: Searcher, there: bool) {
-        if there {
-            return self.roster.note_up(host.now(), searcher);
+        let (now, seat) = (host.now(), self.roster.seat(searcher));
+        if there && seat.down.take().is_some() {
+            let since = seat.started.filter(|at| now.since(*at) < CHECK_EVERY).unwrap_or(now);
+            self.roster.renew(now, searcher, since);
         }
-        self.check_later(host, searcher);
     }
 
     /// The client is gone: nothing is owed any more.
@@ -588,21 +576,30 @@
 
     /// All parts go out at once, heaviest first. Where a searcher is at its limit, light parts of a scan that
     /// may be answered without them are skipped: against crowding by scans of many parts, in any slowness.
-    /// Hurts when the limit is wrong: an answer is then less than it could have been.
+    /// Hurts when the limit is wrong: an answer is less than it could be. While searchers die under parts,
+    /// one part goes ahead until it has landed or is late, so that a scan that kills them kills one. Hurts
+    /// where they die otherwise: scans take a part's time longer.
     fn send_out(&mut self, host: &mut dyn Host, id: ScanId) {
         let now = host.now();
         let Some(scan) = self.scans.get_mut(&id) else { return };
-        let mut order: Vec<usize> = (scan.first..scan.parts.len()).collect();
+        let unsent = |at: &usize| scan.parts[*at].tried.is_empty() && !scan.parts[*at].lost;
+        let mut order: Vec<usize> = (scan.first..scan.parts.len()).filter(unsent).collect();
         order.sort_by(|a, b| scan.parts[*b].taken.weight.total_cmp(&scan.parts[*a].taken.weight));
+        let sort = (scan.traffic_type, self.types[scan.traffic_type].quoted);
         // Three quarters of the way to the floor: the last quarter is for parts lost on the way.
         let mut spare = (1.0 - self.types[scan.traffic_type].floor) * 0.75;
         let (worth, left) = (scan.worth * order.len() as f64, scan.ends.since(now));
+        if scan.held {
+            order.truncate(1);
+            let wait = Span::of_micros((2.0 * self.roster.typical) as u64);
+            self.later(host, wait, move |mixer, host| mixer.send_rest(host, id));
+        }
         for at in order {
             let Some(part) = self.scans.get_mut(&id).map(|scan| &mut scan.parts[at]) else { return };
             let skip = part.taken.weight <= spare
                 && !self.roster.room(now, left, part.taken.shard, worth * part.taken.weight, 1);
             spare -= if skip { part.taken.weight } else { 0.0 };
-            match self.roster.place(now, part.taken.shard, &part.tried).filter(|_| !skip) {
+            match self.roster.place(now, part.taken.shard, sort, &part.tried).filter(|_| !skip) {
                 Some(to) => self.relay(host, id, at, to),
                 None => part.lost = true,
             }
@@ -610,30 +607,41 @@
         self.settle(host, id);
     }
 
+    fn send_rest(&mut self, host: &mut dyn Host, id: ScanId) {
+        if self.scans.get_mut(&id).is_some_and(|scan| take(&mut scan.held)) {
+            self.send_out(host, id);
+        }
+    }
+
     fn relay(&mut self, host: &mut dyn Host, id: ScanId, at: usize, to: Searcher) {
         let now = host.now();
         let Some(scan) = self.scans.get_mut(&id) else { return };
-        let quoted = self.types[scan.traffic_type].quoted;
-        let part = &mut scan.parts[at];
+        let (part, sort) = (&mut scan.parts[at], (scan.traffic_type, self.types[scan.traffic_type].quoted));
         let ran_before = part.may_have_run;
+        let (leg, stale) = self.roster.note_sent(now, to, sort);
+        if stale {
+            host.hang_up(to);
+        }
         let relay = Ticket(self.landings.insert(Box::new(move |mixer, host, (how, took)| {
-            mixer.roster.note_landed(host.now(), to, now, (how, took), quoted);
+            let died = mixer.roster.note_landed(host.now(), &leg, how, took.as_f64());
             mixer.reached_or_not(host, to, how);
-            let open = mixer.scans.get_mut(&id).filter(|scan| at >= scan.first);
-            let Some(part) = open.map(|scan| &mut scan.parts[at]) else { return };
+            let Some(scan) = mixer.scans.get_mut(&id).filter(|scan| at >= scan.first) else { return };
+            scan.deaths += usize::from(died);
+            let part = &mut scan.parts[at];
             (part.out, part.honoured) = (None, how == Landing::Honoured);
             if matches!(how, Landing::TurnedAway | Landing::Unreached | Landing::Unsent) {
                 part.may_have_run = ran_before;
             }
             part.lost = !part.honoured;
+            if died && scan.held {
+                return mixer.close(host, id);
+            }
             if part.lost {
                 mixer.relay_again(host, id, at);
             }
+            mixer.send_rest(host, id);
             mixer.settle(host, id);
         })) as u32);
-        if self.roster.note_sent(now, to) {
-            host.hang_up(to);
-        }
         part.tried.push(to);
         (part.out, part.lost) = (Some(relay), false);
         part.may_have_run = ran_before.or(Some(now));
@@ -641,22 +649,25 @@
     }
 
     /// A part that failed goes at once to a replica it has not been to. Guards against whatever loses single
-    /// parts: errors, full rooms, dead or unreachable searchers. Rules 2 and 6 bind it. Hurts where all
-    /// searchers fail together; so it needs room under the limit as a scan of no credit would.
+    /// parts: errors, full rooms, dead or unreachable searchers. Rules 2 and 6 bind it. Hurts where all fail
+    /// together; so it needs room as a scan of no credit would. A scan under whose parts two searchers died
+    /// may be what kills them, and is carried no further: that hurts one that lost two to another's harm.
     fn relay_again(&mut self, host: &mut dyn Host, id: ScanId, at: usize) {
         let now = host.now();
         let Some(scan) = self.scans.get(&id) else { return };
-        let part = &scan.parts[at];
-        let harmless = match (self.types[scan.traffic_type].effect, part.may_have_run) {
+        let (part, kind, left) = (&scan.parts[at], &self.types[scan.traffic_type], scan.ends.since(now));
+        let harmless = match (kind.effect, part.may_have_run) {
             (Effect::Redoable, _) | (_, None) => true,
             (Effect::Labelled(window), Some(first)) => now.since(first) + self.lead < window,
             (Effect::Irreversible, Some(_)) => false,
         };
-        let allowed = part.tried.len() < self.relay_cap
-            && self.roster.room(now, scan.ends.since(now), part.taken.shard, 0.0, 1);
-        let place = (harmless && allowed).then(|| self.roster.place(now, part.taken.shard, &part.tried));
-        if let Some(to) = place.flatten().filter(|_| self.budget.spend(now)) {
-            self.relay(host, id, at, to);
+        let allowed = left > Span::ZERO && scan.deaths < 2 && part.tried.len() < self.budget.cap;
+        if harmless && allowed && self.roster.room(now, left, part.taken.shard, 0.0, 1) {
+            let sort = (scan.traffic_type, kind.quoted);
+            let place = self.roster.place(now, part.taken.shard, sort, &part.tried);
+            if let Some(to) = place.filter(|_| self.budget.spend(now)) {
+                self.relay(host, id, at, to);
+            }
         }
     }
 
@@ -665,7 +676,7 @@
     fn settle(&mut self, host: &mut dyn Host, id: ScanId) {
         let Some(scan) = self.scans.get(&id) else { return };
         let (step, kind) = (&scan.parts[scan.first..], &self.types[scan.traffic_type]);
-        let (honoured, whole_from) = scan.standing(kind);
+        let (honoured, whole_from) = scan.reached(kind);
         let hope: f64 = step.iter().filter(|p| !p.lost).map(|p| p.taken.weight).sum();
         let all = step.iter().all(|p| p.honoured || p.lost);
         let waits = step.is_empty() && scan.first_whole.is_some();
@@ -679,10 +690,12 @@
         let Some(mut scan) = self.scans.remove(&id) else { return };
         self.call_off_all(host, &scan);
         let kind = &self.types[scan.traffic_type];
-        let (honoured, whole_from) = scan.standing(kind);
+        let (honoured, whole_from) = scan.reached(kind);
         let whole = honoured + SLACK >= whole_from && scan.first_whole != Some(false);
         let floor = if kind.floor < kind.whole_from || scan.first_whole.is_none() { kind.floor } else { 1.0 };
-        let last = !kind.second_step || scan.first_whole.is_some();
+        let never_ran = scan.parts.iter().all(|p| p.may_have_run.is_none());
+        let (kills, last) =
+            (scan.deaths > usize::from(!scan.held), !kind.second_step || scan.first_whole.is_some());
         if honoured > 0.0 && (whole || honoured + SLACK >= floor) {
             host.answer(id, whole, last);
             if !last {
@@ -690,7 +703,7 @@
                 scan.first_whole = Some(whole);
                 self.scans.insert(id, scan);
             }
-        } else if kind.effect == Effect::Redoable || scan.parts.iter().all(|p| p.may_have_run.is_none()) {
+        } else if kind.effect == Effect::Redoable && !kills || never_ran {
             host.bounce(id, self.door.pause);
         } else {
             host.write_off(id);
@@ -698,46 +711,30 @@
     }
 
     fn call_off_all(&self, host: &mut dyn Host, scan: &Scan) {
-        let out = scan.parts.iter().filter_map(|part| part.out).filter(|_| self.may_call_off);
-        out.for_each(|relay| host.call_off(relay));
+        scan.parts.iter().filter_map(|part| part.out).for_each(|relay| host.call_off(relay));
     }
 
     /// The design's down mark: a connection failure sets it, a check that passes lifts it.
     fn reached_or_not(&mut self, host: &mut dyn Host, searcher: Searcher, how: Landing) {
-        let seat = self.roster.seat(searcher);
         match how {
-            Landing::Unreached if !seat.down || seat.checking => {
-                seat.down = true;
-                self.check_later(host, searcher);
+            Landing::Unreached if self.roster.seat(searcher).down.is_none() => {
+                self.check_later(host, searcher)
             }
             Landing::Honoured | Landing::Erred | Landing::TurnedAway => self.checked(host, searcher, true),
-            _ if seat.checking && how != Landing::Unreached => self.check_later(host, searcher),
             _ => {}
         }
     }
 
     fn check_later(&mut self, host: &mut dyn Host, searcher: Searcher) {
-        let at = host.now() + CHECK_EVERY;
-        let seat = self.roster.seat(searcher);
-        (seat.checking, seat.next_check) = (false, Some(at));
+        let due = host.now() + CHECK_EVERY;
+        self.roster.seat(searcher).down = Some(due);
         self.later(host, CHECK_EVERY, move |mixer, host| {
-            let seat = mixer.roster.seat(searcher);
-            match seat.down && seat.next_check == Some(at) {
-                true if seat.ready => mixer.check(host, searcher),
-                true => mixer.check_later(host, searcher),
-                false => {}
+            if mixer.roster.may_check && mixer.roster.seat(searcher).down == Some(due) {
+                host.check(searcher);
+                mixer.check_later(host, searcher);
             }
         });
     }
-
-    fn check(&mut self, host: &mut dyn Host, searcher: Searcher) {
-        let may_check = self.roster.may_check;
-        let seat = self.roster.seat(searcher);
-        (seat.checking, seat.next_check) = (may_check, None);
-        if may_check {
-            host.check(searcher);
-        }
-    }
 }
 
 /// Sums of weights may fall so little short: half of the rules' figure.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -163,7 +163,7 @@
     fn now(&self) -> Moment;
     /// Sends a part; its end comes back as `Mixer::landed`.
     fn relay(&mut self, ticket: Ticket, scan: ScanId, part: usize, to: Searcher, patience: Span);
-    /// Ends the wait on a relay; its end still comes back.
+    /// Ends the wait on a relay, where the front can; its end still comes back.
     fn call_off(&mut self, relay: Ticket);
     /// Answers from the parts honoured; `last` is false where a second step follows.
     fn answer(&mut self, scan: ScanId, whole: bool, last: bool);
