Hold silence after a pause against the searcher: only a drop at once is excused

Cause: where searchers are slow, nothing comes back for long, so that parts in vain after a long pause looked like reaped connections and were not learnt from.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -341,10 +341,10 @@
         if back || lost {
             self.vain[pause] += (f64::from(lost) - self.vain[pause]) / 8.0;
         }
-        // Dropped as soon as it was used again, it had been closed before; so too where that is known.
-        let idle = pause > 0 && (took * 20.0 < self.shortest || self.vain[pause] > self.vain[0] + 0.25);
+        // Dropped as soon as it was used again, it had been closed before.
+        let closed = how == Landing::Dropped && pause > 0 && took * 20.0 < self.shortest;
         match how {
-            _ if lost && idle => return false,
+            _ if closed => return false,
             Landing::Honoured => {
                 seat.fresh.iter_mut().for_each(|(_, answers)| *answers += 1);
                 self.learn(now, from, kind, Some(took), false);
