--- a/src/choice.rs
+++ b/src/choice.rs
@@ -246,13 +246,13 @@
         (-now.since(until).as_f64() / (CHECK_EVERY.as_f64() + self.cold.fleet * self.shortest)).exp2()
     }
 
-    /// Smooths in what a relay's end tells. An eighth, as in TCP: one odd part tells little; and the longer
-    /// nothing was heard, the less the past counts.
+    /// Smooths in what a relay's end tells. An eighth, as in TCP: one odd part tells little, but one in vain
+    /// half; and the longer nothing was heard, the less the past counts.
     fn learn(&mut self, now: Moment, searcher: Searcher, kind: usize, sample: Option<f64>, failed: bool) {
         let (shortest, fleet) = (self.shortest, self.cold.fleet);
         let held = self.fading(now, &self.seats[searcher.0 as usize]);
         let seat = self.seat(searcher);
-        let part = (1.0 - held).max(0.125);
+        let part = (1.0 - held).max(if failed && sample.is_some() { 0.5 } else { 0.125 });
         seat.heard = now;
         seat.failing.resize(seat.failing.len().max(kind + 1), 0.0);
         seat.failing[kind] += (f64::from(failed) - seat.failing[kind]) * part;
