Ties between replicas go to the own zone where crossing has a price

The design's choice of replica stands, and leaves ties open: smoothed latencies within three tenths of each other are alike by what they can tell, and such a tie now goes to where crossing has no price, no more by chance.

Might hurt where clients crowd into one zone: its replicas then stand slower than that, and the tie is none.

--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -10,6 +10,7 @@
 #[derive(Clone, Copy)]
 pub struct Entry {
     pub wire_id: u32,
+    pub zone: u8,
     pub status: u8,
     pub cell: u16,
     pub started: u64,
@@ -170,6 +171,8 @@
     mixer: Mixer,
     books: Books,
     arriving: Option<Arriving>,
+    /// The zone that it has a price to leave.
+    dear_outside: Option<u8>,
 }
 
 impl Instance {
@@ -180,7 +183,7 @@
         let readings = Readings::parse(fields.bytes(length)?)?;
         let mixer = readings.mixer(seed)?;
         let books = Books { number, may_call_off: readings.yes("limits.cancel"), ..Books::default() };
-        let mut instance = Self { mixer, books, arriving: None };
+        let mut instance = Self { mixer, books, arriving: None, dear_outside: readings.dear_outside()? };
         if readings.says("discovery", "on_request") {
             instance.with(now, reply, |mixer, host| mixer.watch(host, false));
         }
@@ -238,11 +241,13 @@
             return self.with(now, reply, |mixer, host| mixer.watch(host, true));
         }
         let entries = entries.map_or(&[][..], Vec::as_slice);
+        let dear_outside = self.dear_outside;
         let listing = |entry: &Entry| Listing {
             searcher: self.books.searcher(entry.wire_id),
             cell: entry.cell.into(),
             ready: entry.status == 0,
             started: (entry.started != 0).then(|| Moment::at_micros(entry.started)),
+            dear: dear_outside.is_some_and(|home| entry.zone != home),
         };
         let listings: Vec<Listing> = entries.iter().map(listing).collect();
         self.with(now, reply, |mixer, host| mixer.listed(host, how != 0, &listings));
--- a/crates/simhost/src/process.rs
+++ b/crates/simhost/src/process.rs
@@ -91,9 +91,9 @@
         let mut entries = Vec::new();
         for _ in 0..count {
             let mut line = Fields::new(fields.bytes(22)?, "Manifest entry");
-            let (_machine, _share, _zone) = (line.u16()?, line.f32()?, line.u8()?);
+            let (_machine, _share, zone) = (line.u16()?, line.f32()?, line.u8()?);
             let (status, cell, wire_id, started) = (line.u8()?, line.u16()?, line.u32()?, line.u64()?);
-            entries.push(Entry { wire_id, status, cell, started });
+            entries.push(Entry { wire_id, zone, status, cell, started });
         }
         self.lists.insert(list, entries);
         Ok(())
--- a/crates/simhost/src/readings.rs
+++ b/crates/simhost/src/readings.rs
@@ -26,6 +26,12 @@
         Ok(Span::of_micros(self.number(path, 0.0)? as u64))
     }
 
+    /// The own zone, where crossing to others has a price.
+    pub fn dear_outside(&self) -> Result<Option<u8>, Malformed> {
+        let (price, zone) = (self.number("deductions.cross_zone", 0.0)?, self.number("zone", 0.0)?);
+        Ok((price > 0.0).then_some(zone as u8))
+    }
+
     pub fn yes(&self, path: &str) -> bool {
         self.0.get(path) == Some(&"true")
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -110,9 +110,8 @@
 /// One searcher as this mixer knows it.
 #[derive(Default)]
 struct Seat {
-    cell: u32,
-    ready: bool,
-    started: Option<Moment>,
+    /// What the list last said of it.
+    told: Listing,
     /// When it started, and its answers since.
     fresh: Option<(Moment, usize)>,
     latency: Option<f64>,
@@ -202,18 +201,18 @@
     }
 
     /// Lists a searcher, or takes it off; what was known of one that is gone holds no more.
-    fn set_home(&mut self, searcher: Searcher, cell: u32, ready: bool) {
-        let seat = self.seat(searcher);
-        let old = replace(&mut seat.cell, cell);
-        if replace(&mut seat.ready, ready) {
-            self.homes.entry(old).or_default().retain(|other| *other != searcher);
+    fn set_home(&mut self, told: Listing) -> Listing {
+        let before = replace(&mut self.seat(told.searcher).told, told);
+        if before.ready {
+            self.homes.entry(before.cell).or_default().retain(|other| *other != told.searcher);
         }
-        if ready {
-            self.homes.entry(cell).or_default().push(searcher);
+        if told.ready {
+            self.homes.entry(told.cell).or_default().push(told.searcher);
         } else {
-            self.seat(searcher).down = None;
-            self.set_latency(searcher, None);
+            self.seat(told.searcher).down = None;
+            self.set_latency(told.searcher, None);
         }
+        before
     }
 
     /// The searchers that hold a shard and are listed ready.
@@ -281,7 +280,9 @@
             let seat = &self.seats[searcher.0 as usize];
             let standing = self.standing(now, seat);
             let failing = seat.failing.get(sort.0).map_or(0.0, |share| share * self.fading(now, seat));
-            let latency = standing + failing * (sort.1.as_f64() - standing).max(0.0);
+            // Within three tenths smoothed latencies are alike: a tie goes to where crossing has no price.
+            let tie = if seat.told.dear { 1.3 } else { 1.0 };
+            let latency = (standing + failing * (sort.1.as_f64() - standing).max(0.0)) * tie;
             match seat.down {
                 Some(due) => (!self.may_check && now >= due).then_some((0.0, searcher)),
                 None if !self.cold.has_room(seat, self.shortest, now) => None,
@@ -479,22 +480,18 @@
     pub fn listed(&mut self, host: &mut dyn Host, whole: bool, listings: &[Listing]) {
         let now = host.now();
         let named: BTreeSet<Searcher> = listings.iter().map(|listing| listing.searcher).collect();
-        let all = (0..self.roster.seats.len() as u32).map(Searcher).filter(|_| whole);
-        for gone in all.filter(|searcher| !named.contains(searcher)) {
-            self.roster.set_home(gone, 0, false);
+        let all: Vec<Listing> = self.roster.seats.iter().filter(|_| whole).map(|seat| seat.told).collect();
+        for gone in all.into_iter().filter(|told| !named.contains(&told.searcher)) {
+            self.roster.set_home(Listing { ready: false, ..gone });
         }
-        for &Listing { searcher, cell, ready, started } in listings {
+        for &told in listings {
             // A dozen for all mixers together, some for each core of a usual machine; three for each mixer.
             let limit = (12.0 / self.roster.cold.fleet).max(3.0);
-            while self.roster.seats.len() <= searcher.0 as usize {
-                self.roster.seats.push(Seat { limit, ..Seat::default() });
-            }
-            self.roster.set_home(searcher, cell, ready);
-            let (cold, seat) = (self.roster.cold.cold, self.roster.seat(searcher));
-            let before = replace(&mut seat.started, started);
-            if let Some(since) = started.filter(|at| before != Some(*at) && now.since(*at) < cold) {
-                self.roster.renew(now, searcher, since);
-            }
+            let count = self.roster.seats.len().max(told.searcher.0 as usize + 1);
+            self.roster.seats.resize_with(count, || Seat { limit, ..Seat::default() });
+            let (before, cold) = (self.roster.set_home(told), self.roster.cold.cold);
+            let news = told.started.filter(|at| before.started != Some(*at) && now.since(*at) < cold);
+            news.iter().for_each(|since| self.roster.renew(now, told.searcher, *since));
         }
     }
 
@@ -559,7 +556,7 @@
     pub fn checked(&mut self, host: &mut dyn Host, searcher: Searcher, there: bool) {
         let (now, seat) = (host.now(), self.roster.seat(searcher));
         if there && seat.down.take().is_some() {
-            let since = seat.started.filter(|at| now.since(*at) < CHECK_EVERY).unwrap_or(now);
+            let since = seat.told.started.filter(|at| now.since(*at) < CHECK_EVERY).unwrap_or(now);
             self.roster.renew(now, searcher, since);
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,7 +74,7 @@
 }
 
 /// A searcher, numbered by the front in the order in which it first heard of them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Searcher(pub u32);
 
 /// Names what the module left behind to be done with a result: hand it back with that result.
@@ -102,13 +102,15 @@
 }
 
 /// One line of the list of searchers.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Listing {
     pub searcher: Searcher,
     pub cell: u32,
     /// Still to be given work: neither draining nor gone.
     pub ready: bool,
     pub started: Option<Moment>,
+    /// In another zone, where the deployment has a price for crossing.
+    pub dear: bool,
 }
 
 /// One part of a scan, as it was taken.
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -129,7 +129,12 @@
 
 impl Story {
     pub fn list(&mut self, whole: bool, searchers: &[(u32, bool)], started: Option<Moment>) {
-        let line = |&(id, ready): &(u32, bool)| Listing { searcher: Searcher(id), cell: 0, ready, started };
+        let line = |&(id, ready): &(u32, bool)| Listing {
+            searcher: Searcher(id),
+            ready,
+            started,
+            ..Listing::default()
+        };
         let lines: Vec<Listing> = searchers.iter().map(line).collect();
         self.mixer.listed(&mut self.host, whole, &lines);
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -3,7 +3,7 @@
 mod host;
 
 use fernglade::choice::RelayBudget;
-use fernglade::{Effect, Landing, PartTaken, Span, TrafficType};
+use fernglade::{Effect, Landing, Listing, PartTaken, Searcher, Span, TrafficType};
 use host::{story, story_of, story_with, whole_only, Ending, Story};
 use test_case::test_case;
 
@@ -149,10 +149,10 @@
     }
     story.pass(5000);
     assert_eq!(story.host.checks, [lost.to]);
-    story.mixer.checked(&mut story.host, fernglade::Searcher(lost.to), false);
+    story.mixer.checked(&mut story.host, Searcher(lost.to), false);
     story.pass(5000);
     assert_eq!(story.host.checks, [lost.to, lost.to]);
-    story.mixer.checked(&mut story.host, fernglade::Searcher(lost.to), true);
+    story.mixer.checked(&mut story.host, Searcher(lost.to), true);
     assert!(sent_to(&mut story, lost.to, 12) >= 1);
 }
 
@@ -178,9 +178,13 @@
 
 /// How many relays go to a searcher while so many scans come, each answered.
 fn sent_to(story: &mut Story, searcher: u32, scans: usize) -> usize {
+    sent_to_of(story, searcher, scans, 3)
+}
+
+fn sent_to_of(story: &mut Story, searcher: u32, scans: usize, parts: u32) -> usize {
     let before = story.host.relays.len();
     for _ in 0..scans {
-        let id = story.scan(3);
+        let id = story.scan(parts);
         story.pass(100);
         story.land_all(id, Landing::Honoured);
     }
@@ -383,6 +387,16 @@
     assert_eq!(story.out(slow).len(), 3, "a slow one does not hold the others back for long");
 }
 
+#[test]
+fn between_replicas_that_are_alike_the_part_stays_where_crossing_has_no_price() {
+    let mut story = story(whole_only());
+    story.settle_in(100);
+    let told = |id| Listing { searcher: Searcher(id), ready: true, dear: id != 1, ..Listing::default() };
+    story.mixer.listed(&mut story.host, true, &[told(0), told(1), told(2)]);
+    assert_eq!(sent_to_of(&mut story, 1, 10, 1), 10);
+    assert_eq!(sent_to_of(&mut story, 1, 10, 3), 10, "but not at twice the latency");
+}
+
 /// Searchers that fail one traffic type and serve the others.
 #[test]
 fn a_searcher_that_fails_one_traffic_type_draws_the_others_alone() {
