Rarer turns at too slow searchers where many parts are lost

Symptom: from 0:08 on 3% in time, 2,300 time-outs in five seconds, ten relays a scan. Cause: the door knew (all searchers stood at 1.7 s), but 35 mixers' turns of one part each let in as much as the fleet could do. Told from a stale belief by printing what the door held: no replica in time, 29 by turn.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -167,11 +167,11 @@
     may_check: bool,
     cold: ColdCare,
     chance: Chance,
-    /// Smoothed time of answered parts, over all searchers.
+    /// Smoothed time of answered parts, over all searchers, and the share of parts that are lost.
     typical: f64,
+    lost: f64,
     /// The shortest that the smoothed time has been of late: what a part is taken to cost, with little queue.
     shortest: f64,
-    /// When a searcher last died under a part.
     last_death: Option<Moment>,
     /// The share of relays lost or in vain, by how long nothing had come over their connection: less than a
     /// quarter of a second, and twice as long from each to the next.
@@ -299,14 +299,16 @@
     /// seven and three tenths lost nowhere. One too slow for the time left has none: against hurried clients
     /// and jammed shards, whose parts would run in vain. The slowest of a few takes half as long again. Where
     /// mixers are many their limits hardly bind: little worth counts on less of its time. Hurts where
-    /// latencies lag a recovery; so one part at a time is let in, by turns of the fleet.
+    /// latencies lag a recovery; so one part at a time is let in, by turns of the fleet, six times rarer where
+    /// half of all parts are lost: against a collapse, in which such turns alone keep all queues full.
     fn room(&self, now: Moment, left: Span, shard: u32, worth: f64, parts: usize) -> bool {
         let left = left.as_f64() * (0.5 + 0.5 * worth).max(4.0 / self.cold.fleet).min(1.0);
+        let rarer = 1.0 + 20.0 * self.lost * self.lost;
         let free = |s: &Seat| {
             let standing = self.standing(now, s);
             let least = if standing > 2.0 * self.shortest { 0.3 } else { 0.7 };
             let room = s.limit * (least + (1.0 - least) * worth).min(1.0) - s.out.len() as f64;
-            let turn = s.out.is_empty() && s.has_turn(now, self.cold.fleet * self.shortest);
+            let turn = s.out.is_empty() && s.has_turn(now, self.cold.fleet * self.shortest * rarer);
             let open = (turn || standing * 1.5 < left) && self.cold.has_room(s, self.shortest, now);
             f64::from(open) * room.max(0.0).ceil()
         };
@@ -341,6 +343,7 @@
         let lost = in_vain || how == Landing::Dropped;
         seat.stood = if back { now } else { seat.stood };
         if back || lost {
+            self.lost += (f64::from(lost) - self.lost) * 0.05;
             self.vain[pause] += (f64::from(lost) - self.vain[pause]) / 8.0;
         }
         // Dropped as soon as it was used again, it had been closed before.
@@ -388,8 +391,7 @@
 
     fn over_share(&mut self, now: Moment, customer: usize) -> bool {
         let Some((rate, ahead, at)) = self.customers.get_mut(customer) else { return false };
-        *ahead = (*ahead - *rate * now.since(*at).as_f64() / 1e6).max(0.0) + 1.0;
-        *at = now;
+        (*ahead, *at) = ((*ahead - *rate * now.since(*at).as_f64() / 1e6).max(0.0) + 1.0, now);
         // Three seconds' worth: bursts even out over that, true excess does not.
         *ahead > 3.0 * *rate + 1.0
     }
