--- a/src/choice.rs
+++ b/src/choice.rs
@@ -299,8 +299,8 @@
     /// seven and three tenths lost nowhere. One too slow for the time left has none: against hurried clients
     /// and jammed shards, whose parts would run in vain. The slowest of a few takes half as long again. Where
     /// mixers are many their limits hardly bind: little worth counts on less of its time. Hurts where
-    /// latencies lag a recovery; so one part at a time is let in, by turns of the fleet, six times rarer where
-    /// half of all parts are lost: against a collapse, in which such turns alone keep all queues full.
+    /// latencies lag a recovery; so one part at a time is let in, by turns of the fleet, six times rarer
+    /// where half of all parts are lost: against a collapse, in which turns alone keep all queues full.
     fn room(&self, now: Moment, left: Span, shard: u32, worth: f64, parts: usize) -> bool {
         let left = left.as_f64() * (0.5 + 0.5 * worth).max(4.0 / self.cold.fleet).min(1.0);
         let rarer = 1.0 + 20.0 * self.lost * self.lost;
