One trial of doubted connections in a check interval; a hundred further relays unstated

A scan of a hundred parts made a hundred trials likelier at once, so that the next one ran into closed connections again; and ten further relays a window could not make good one such scan.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,8 +40,8 @@
     }
 }
 
-/// Rule 6: relays beyond each part's first, in any window, number at most a few and a share of what was
-/// taken in it. Where no budget is stated our own stands, so that trouble never doubles the load.
+/// Rule 6: relays beyond each part's first, in any window, number at most a few and a share of what was taken
+/// in it. Where no budget is stated our own stands, so that trouble never doubles the load.
 #[derive(Default)]
 pub struct RelayBudget {
     /// Relays that one part may have.
@@ -55,9 +55,10 @@
 }
 
 impl RelayBudget {
-    /// Unstated: a fifth of the parts covers the loss of one searcher in five; ten seconds outlast a pause.
+    /// Unstated: a fifth of the parts, for one searcher lost in five; a hundred, for a scan of all closed
+    /// connections; ten seconds, to outlast a pause.
     pub fn new(cap: usize, stated: Option<(f64, f64, Span)>) -> Self {
-        let (few, share, window) = stated.unwrap_or((10.0, 0.2, Span::of_millis(10_000)));
+        let (few, share, window) = stated.unwrap_or((100.0, 0.2, Span::of_millis(10_000)));
         Self { cap, few, share, window, ..Self::default() }
     }
 
@@ -142,7 +143,7 @@
     }
 }
 
-/// A relay under way: where to, since when, how long nothing had come over its connection (by class).
+/// A relay under way; `pause` is how long nothing had come over its connection, by class.
 struct Leg {
     to: Searcher,
     left: Moment,
@@ -176,19 +177,19 @@
     /// The share of relays lost or in vain, by how long nothing had come over their connection: less than a
     /// quarter of a second, and twice as long from each to the next.
     vain: [f64; 8],
+    trial: Moment,
 }
 
 impl Roster {
     pub fn new(seed: u64, cells: u32, width: u32, per_call: usize, may_check: bool, cold: ColdCare) -> Self {
-        let chance = Chance(seed);
-        Self { cells: cells.max(1), width, per_call, may_check, cold, chance, ..Self::default() }
+        let (cells, chance) = (cells.max(1), Chance(seed));
+        Self { cells, width, per_call, may_check, cold, chance, ..Self::default() }
     }
 
     fn seat(&mut self, searcher: Searcher) -> &mut Seat {
         &mut self.seats[searcher.0 as usize]
     }
 
-    /// Over the latencies known, and one more that is the usual time.
     fn average(&self) -> f64 {
         (self.known.0 + self.typical) / (self.known.1 + 1.0)
     }
@@ -297,10 +298,9 @@
     /// Whether the replicas of a shard together have room under their limits for so many parts; where none is
     /// up, that is not for the door to say. Scans of little worth may fill less, at slow replicas the least:
     /// seven and three tenths lost nowhere. One too slow for the time left has none: against hurried clients
-    /// and jammed shards, whose parts would run in vain. The slowest of a few takes half as long again. Where
-    /// mixers are many their limits hardly bind: little worth counts on less of its time. Hurts where
-    /// latencies lag a recovery; so one part at a time is let in, by turns of the fleet, six times rarer
-    /// where half of all parts are lost: against a collapse, in which turns alone keep all queues full.
+    /// and jammed shards; the slowest of a few takes half as long again. Where mixers are many and their
+    /// limits hardly bind, little worth counts on less of its time. Hurts where latencies lag a recovery: one
+    /// part at a time is let in, by turns of the fleet, six times rarer where half of all parts are lost.
     fn room(&self, now: Moment, left: Span, shard: u32, worth: f64, parts: usize) -> bool {
         let left = left.as_f64() * (0.5 + 0.5 * worth).max(4.0 / self.cold.fleet).min(1.0);
         let rarer = 1.0 + 20.0 * self.lost * self.lost;
@@ -317,18 +317,18 @@
     }
 
     /// Notes a relay, and tells whether its connection is to be trusted no more: where relays after so long a
-    /// pause, or less, are lost oftener by a quarter than those after none. Guards against whatever closes
-    /// connections unseen while they lie idle, by reset or by silence: they are shut before they are used.
-    /// Each time makes a trial likelier. Hurts where parts were lost otherwise: new connections.
+    /// pause, or less, are lost oftener by a quarter than those after none. Guards against all that closes
+    /// idle connections unseen, by reset or silence: they are shut before use, but for a trial in a check
+    /// interval. Hurts where parts were lost otherwise: needless new connections.
     fn note_sent(&mut self, now: Moment, searcher: Searcher, sort: Sort) -> (Leg, bool) {
         let seat = &mut self.seats[searcher.0 as usize];
         let quarters = now.since(seat.stood).micros() / 250_000;
         let pause = (u64::BITS - quarters.leading_zeros()).min(7) as usize;
         seat.out.push(now);
         (seat.sent, seat.turn, seat.down) = (now, 1.0, seat.down.map(|_| now + CHECK_EVERY));
-        let usual = self.vain[0] + 0.25;
-        let stale = self.vain[1..=pause].iter().any(|share| *share > usual);
-        self.vain[1..=pause].iter_mut().filter(|share| **share > usual).for_each(|share| *share *= 0.99);
+        let doubted = self.vain[1..=pause].iter().any(|share| *share > self.vain[0] + 0.25);
+        let stale = doubted && now.since(self.trial) < CHECK_EVERY;
+        self.trial = if doubted && !stale { now } else { self.trial };
         (Leg { to: searcher, left: now, pause: if stale { 0 } else { pause }, sort }, stale)
     }
 
@@ -586,7 +586,7 @@
         let mut order: Vec<usize> = (scan.first..scan.parts.len()).filter(unsent).collect();
         order.sort_by(|a, b| scan.parts[*b].taken.weight.total_cmp(&scan.parts[*a].taken.weight));
         let sort = (scan.traffic_type, self.types[scan.traffic_type].quoted);
-        // Three quarters of the way to the floor: the last quarter is for parts lost on the way.
+        // Three quarters of the way to the floor: a quarter is for parts lost on the way.
         let mut spare = (1.0 - self.types[scan.traffic_type].floor) * 0.75;
         let (worth, left) = (scan.worth * order.len() as f64, scan.ends.since(now));
         if scan.held {
