--- /dev/null
+++ b/crates/fronts/src/ids.rs
@@ -0,0 +1,84 @@
+//! Ids to small indices and back.
+
+use fernglade::{ScanId, Searcher};
+use std::collections::BTreeMap;
+
+/// What a front holds of each open scan. A slot is let again once its scan is closed, with a new turn, so an
+/// id that is kept too long finds nothing.
+pub struct Slots<T> {
+    slots: Vec<(u32, Option<T>)>,
+    free: Vec<u32>,
+}
+
+impl<T> Default for Slots<T> {
+    fn default() -> Self {
+        Self { slots: Vec::new(), free: Vec::new() }
+    }
+}
+
+impl<T> Slots<T> {
+    pub fn open(&mut self, held: T) -> ScanId {
+        let slot = self.free.pop().unwrap_or(self.slots.len() as u32);
+        if slot as usize == self.slots.len() {
+            self.slots.push((0, None));
+        }
+        let (turn, place) = &mut self.slots[slot as usize];
+        (*turn, *place) = (turn.wrapping_add(1), Some(held));
+        ScanId { slot, turn: *turn }
+    }
+
+    pub fn get(&self, id: ScanId) -> Option<&T> {
+        self.slots.get(id.slot as usize).filter(|(turn, _)| *turn == id.turn)?.1.as_ref()
+    }
+
+    pub fn get_mut(&mut self, id: ScanId) -> Option<&mut T> {
+        self.slots.get_mut(id.slot as usize).filter(|(turn, _)| *turn == id.turn)?.1.as_mut()
+    }
+
+    pub fn close(&mut self, id: ScanId) -> Option<T> {
+        let place = self.slots.get_mut(id.slot as usize).filter(|(turn, _)| *turn == id.turn);
+        let held = place.and_then(|(_, held)| held.take())?;
+        self.free.push(id.slot);
+        Some(held)
+    }
+
+    pub fn len(&self) -> usize {
+        self.slots.len() - self.free.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// Searchers, numbered in the order in which they were first named. Grows with searchers ever named.
+pub struct Numbers<K> {
+    numbers: BTreeMap<K, Searcher>,
+    names: Vec<K>,
+}
+
+impl<K> Default for Numbers<K> {
+    fn default() -> Self {
+        Self { numbers: BTreeMap::new(), names: Vec::new() }
+    }
+}
+
+impl<K: Ord + Clone> Numbers<K> {
+    pub fn number(&mut self, name: &K) -> Searcher {
+        if let Some(known) = self.numbers.get(name) {
+            return *known;
+        }
+        let new = Searcher(self.names.len() as u32);
+        self.names.push(name.clone());
+        self.numbers.insert(name.clone(), new);
+        new
+    }
+
+    pub fn known(&self, name: &K) -> Option<Searcher> {
+        self.numbers.get(name).copied()
+    }
+
+    pub fn name(&self, searcher: Searcher) -> &K {
+        &self.names[searcher.0 as usize]
+    }
+}
--- a/crates/simhost/src/readings.rs
+++ b/crates/fronts/src/readings.rs
@@ -1,72 +1,99 @@
 //! What an instance is told at its start: `path=value` lines, and the parts of the mixer made from them.
 
-use crate::wire::Malformed;
 use fernglade::choice::{ColdCare, Door, Mixer, RelayBudget, Roster};
 use fernglade::{Effect, Span, TrafficType};
 use std::collections::BTreeMap;
+use std::fmt;
 
-pub struct Readings<'a>(BTreeMap<&'a str, &'a str>);
+/// What in the readings can't be used, and where it stands.
+#[derive(Debug, PartialEq)]
+pub struct Misread(pub String);
 
-impl<'a> Readings<'a> {
-    pub fn parse(text: &'a [u8]) -> Result<Self, Malformed> {
-        let text = std::str::from_utf8(text).map_err(|e| Malformed(format!("settings: not text: {e}")))?;
+impl fmt::Display for Misread {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+pub struct Readings(BTreeMap<String, String>);
+
+impl Readings {
+    /// From `path=value` lines.
+    pub fn parse(text: &[u8]) -> Result<Self, Misread> {
+        let text = std::str::from_utf8(text).map_err(|e| Misread(format!("settings: not text: {e}")))?;
         let lines = text.lines().filter(|line| !line.is_empty());
-        let pair = |line: &'a str| {
-            let no_value = || Malformed(format!("settings: a line without a value: {line:.60}"));
-            line.split_once('=').ok_or_else(no_value)
+        let pair = |line: &str| {
+            let no_value = || Misread(format!("settings: a line without a value: {line:.60}"));
+            line.split_once('=').map(|(path, value)| (path.into(), value.into())).ok_or_else(no_value)
         };
         Ok(Self(lines.map(pair).collect::<Result<_, _>>()?))
     }
 
-    fn number(&self, path: &str, absent: f64) -> Result<f64, Malformed> {
+    /// From paths and values that were read elsewhere, in the same form.
+    pub fn of(pairs: BTreeMap<String, String>) -> Self {
+        Self(pairs)
+    }
+
+    pub fn number(&self, path: &str, absent: f64) -> Result<f64, Misread> {
         self.0.get(path).filter(|v| !v.is_empty()).map_or(Ok(absent), |v| decimal(path, v))
     }
 
-    fn span(&self, path: &str) -> Result<Span, Malformed> {
+    pub fn span(&self, path: &str) -> Result<Span, Misread> {
         Ok(Span::of_micros(self.number(path, 0.0)? as u64))
     }
 
     /// The own zone, where crossing to others has a price.
-    pub fn dear_outside(&self) -> Result<Option<u8>, Malformed> {
+    pub fn dear_outside(&self) -> Result<Option<u8>, Misread> {
         let (price, zone) = (self.number("deductions.cross_zone", 0.0)?, self.number("zone", 0.0)?);
         Ok((price > 0.0).then_some(zone as u8))
     }
 
     pub fn yes(&self, path: &str) -> bool {
-        self.0.get(path) == Some(&"true")
+        self.says(path, "true")
     }
 
     pub fn says(&self, path: &str, word: &str) -> bool {
-        self.0.get(path) == Some(&word)
+        self.0.get(path).is_some_and(|value| value == word)
+    }
+
+    /// The names of a list of objects, in its order.
+    pub fn names(&self, path: &str) -> Result<Vec<String>, Misread> {
+        let name = |i| self.0.get(&format!("{path}.{i}.name")).cloned().unwrap_or_default();
+        Ok((0..self.count(path)?).map(name).collect())
+    }
+
+    /// A list of plain words.
+    pub fn words(&self, path: &str) -> Vec<String> {
+        self.0.get(path).into_iter().flat_map(|v| v.split(',')).map(String::from).collect()
     }
 
-    fn list(&self, path: &str) -> Result<Vec<f64>, Malformed> {
+    fn list(&self, path: &str) -> Result<Vec<f64>, Misread> {
         let values = self.0.get(path).filter(|v| !v.is_empty()).into_iter();
         values.flat_map(|v| v.split(',')).map(|v| decimal(path, v)).collect()
     }
 
-    fn count(&self, path: &str) -> Result<usize, Malformed> {
+    fn count(&self, path: &str) -> Result<usize, Misread> {
         let count = self.number(&format!("{path}.count"), 0.0)?;
         if count > u16::MAX.into() {
-            return Err(Malformed(format!("settings: {path}.count: {count} is too many")));
+            return Err(Misread(format!("settings: {path}.count: {count} is too many")));
         }
         Ok(count as usize)
     }
 
-    fn traffic_types(&self) -> Result<Vec<TrafficType>, Malformed> {
+    pub fn traffic_types(&self) -> Result<Vec<TrafficType>, Misread> {
         let (floors, wholes) =
             (self.list("family_info.floor_by_class")?, self.list("family_info.complete_from")?);
         let seconds = self.list("family_info.fetch_parts")?;
         let one = |i: usize| {
             let at = |name: &str| format!("services.{i}.{name}");
             let whole_from = wholes.get(i).copied().unwrap_or(1.0);
-            let word = self.0.get(at("repeat").as_str()).copied();
+            let word = self.0.get(&at("repeat")).map(String::as_str);
             let effect = match word {
                 Some("pure") => Effect::Redoable,
                 Some("token") => Effect::Labelled(self.span(&at("window"))?),
                 Some("side_effect") | None => Effect::Irreversible,
                 Some(other) => {
-                    return Err(Malformed(format!("settings: {}: unknown word {other:.40}", at("repeat"))))
+                    return Err(Misread(format!("settings: {}: unknown word {other:.40}", at("repeat"))))
                 }
             };
             Ok(TrafficType {
@@ -84,7 +111,7 @@
         (0..self.count("services")?).map(one).collect()
     }
 
-    pub fn mixer(&self, seed: u64) -> Result<Mixer, Malformed> {
+    pub fn mixer(&self, seed: u64) -> Result<Mixer, Misread> {
         let fleet = self.number("fleet_size", 1.0)?.max(1.0);
         let cold = ColdCare {
             fleet,
@@ -119,7 +146,7 @@
     }
 }
 
-fn decimal(path: &str, value: &str) -> Result<f64, Malformed> {
+fn decimal(path: &str, value: &str) -> Result<f64, Misread> {
     let number = value.parse().ok().filter(|n: &f64| n.is_finite());
-    number.ok_or_else(|| Malformed(format!("settings: {path}: not a number: {value:.40}")))
+    number.ok_or_else(|| Misread(format!("settings: {path}: not a number: {value:.40}")))
 }
--- /dev/null
+++ b/crates/mixer/src/program/clock.rs
@@ -0,0 +1,27 @@
+//! Time: read from the system's clock once, then counted by a monotonic one, so that a step of the clock
+//! moves no timer, and a searcher's start keeps its place.
+
+use fernglade::Moment;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+#[derive(Clone, Copy)]
+pub struct Clock {
+    began: Instant,
+    began_at: u64,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { began: Instant::now(), began_at: unix.as_micros() as u64 }
+    }
+
+    pub fn now(&self) -> Moment {
+        Moment::at_micros(self.began_at + self.began.elapsed().as_micros() as u64)
+    }
+
+    pub fn instant(&self, at: Moment) -> Instant {
+        // Rounded up: a timer that rings early has to be set again.
+        self.began + Duration::from_micros(at.micros().saturating_sub(self.began_at) + 1)
+    }
+}
--- /dev/null
+++ b/crates/mixer/src/program/links.rs
@@ -0,0 +1,72 @@
+//! One link to a searcher: dialled, then run until it ends.
+
+use super::hub::Hub;
+use crate::protocol::frames::{self, Frame, MOST_FRAME};
+use crate::routing::{CallId, Ending, Event, LinkId};
+use crate::transport::{dial, is_short, pump, Inbox, Line, Stop};
+use std::io;
+use std::net::SocketAddr;
+use std::ops::ControlFlow;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What may wait to be written to one searcher: a full link of the longest calls of one part.
+pub const MOST_WAITING: usize = 2 * 1024 * 1024;
+/// The tag of frames whose writing nobody waits for.
+pub const UNTOLD: u64 = 0;
+
+pub async fn serve(hub: Rc<Hub>, link: LinkId, line: Rc<Line>, to: SocketAddr, within: Duration) {
+    let ending = match dial(to, within).await {
+        Err(error) => not_up(&error),
+        Ok(stream) => {
+            hub.feed(Event::LinkUp(link));
+            let read = |inbox: &mut Inbox| read(&hub, link, inbox);
+            let gone = |tag| {
+                if tag != UNTOLD {
+                    hub.feed(Event::CallOut(link, CallId(tag)));
+                }
+            };
+            match pump(&stream, &line, Inbox::new(4 + MOST_FRAME), read, gone).await {
+                Stop::Ended => Ending::Ended,
+                Stop::Broke => Ending::Broke,
+                Stop::Closed => Ending::HungUp,
+                Stop::Halted(ending) => ending,
+            }
+        }
+    };
+    hub.end_link(link, ending);
+}
+
+fn not_up(error: &io::Error) -> Ending {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => Ending::Refused,
+        io::ErrorKind::TimedOut => Ending::NeverUp,
+        _ if is_short(error) => Ending::Short,
+        _ => Ending::NoWay,
+    }
+}
+
+fn read(hub: &Rc<Hub>, link: LinkId, inbox: &mut Inbox) -> ControlFlow<Ending> {
+    loop {
+        let frame = match frames::next(inbox.unread()) {
+            Ok(Some((frame, count))) => {
+                inbox.used(count);
+                frame
+            }
+            Ok(None) => return ControlFlow::Continue(()),
+            Err(what) => {
+                log::warn!("a searcher's frame can't be read: {what}");
+                return ControlFlow::Break(Ending::Garbled);
+            }
+        };
+        match frame {
+            Frame::Part { id, end, value } => hub.feed(Event::PartBack { link, id, end, value }),
+            Frame::Check(there) => hub.feed(Event::CheckBack(link, there)),
+            Frame::Report => {}
+            Frame::Objection(words) => {
+                log::warn!("a searcher could not use a frame of ours: {words:?}");
+                return ControlFlow::Break(Ending::Objected);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mixer/src/program/orders.rs
@@ -0,0 +1,139 @@
+//! What the mixer is told at its start: the environment, and the file that it names.
+
+use crate::protocol::json::Json;
+use crate::protocol::lists::{news, News};
+use crate::routing::Berths;
+use fernglade_fronts::Readings;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// More than any list of searchers needs; a wrong path may name anything.
+const MOST_ORDERS: u64 = 8 * 1024 * 1024;
+
+pub struct Orders {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub berths: Berths,
+    pub known: News,
+    pub readings: Readings,
+}
+
+impl Orders {
+    /// From `ROUTER_CONFIG` and, where they are set, the other variables, which are read one by one.
+    pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let path = variable("ROUTER_CONFIG")
+            .ok_or("ROUTER_CONFIG is not set: it names the JSON file to start from")?;
+        let within = |what: String| format!("{path}: {what}");
+        let json = Json::parse(&contents(&path).map_err(within)?).map_err(within)?;
+        Self::from_json(&json, variable).map_err(within)
+    }
+
+    fn from_json(json: &Json, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let text = |name: &str, variable_name: &str| {
+            let given =
+                variable(variable_name).or_else(|| json.get(name).and_then(Json::text).map(String::from));
+            given.ok_or_else(|| format!("no {name}, and {variable_name} is not set"))
+        };
+        let address = |name: &str, variable_name: &str| {
+            let given = text(name, variable_name)?;
+            given.parse::<SocketAddr>().map_err(|_| format!("{name} is no address and port: {given:.60}"))
+        };
+        let seed = json.get("seed").and_then(Json::text).and_then(|seed| u64::from_str_radix(seed, 16).ok());
+        let sockets = json.get("limits").and_then(|limits| limits.get("sockets")).and_then(Json::whole);
+        let known = json.get("known").map_or(Ok(News::default()), news);
+        let settings = json.get("settings").filter(|settings| matches!(settings, Json::Object(_)));
+        let mut pairs = BTreeMap::new();
+        flatten(settings.ok_or("no settings")?, String::new(), &mut pairs);
+        Ok(Self {
+            name: text("name", "ROUTER_NAME")?,
+            listen: address("listen", "ROUTER_LISTEN")?,
+            discovery: address("discovery", "ROUTER_DISCOVERY")?,
+            seed: seed.ok_or("seed is not a text of hex digits")?,
+            berths: berths(sockets.unwrap_or(1024) as usize)?,
+            known: known.map_err(|what| format!("known: {what}"))?,
+            readings: Readings::of(pairs),
+        })
+    }
+}
+
+fn contents(path: &str) -> Result<Vec<u8>, String> {
+    let size = std::fs::metadata(path).map_err(|e| e.to_string())?.len();
+    if size > MOST_ORDERS {
+        return Err(format!("{size} bytes, over {MOST_ORDERS}"));
+    }
+    std::fs::read(path).map_err(|e| e.to_string())
+}
+
+/// A part for the links to searchers, who are few, the rest for clients; some for files, signals and timers.
+fn berths(sockets: usize) -> Result<Berths, String> {
+    let spare = 24;
+    if sockets < 64 {
+        return Err(format!("limits.sockets: {sockets} is too few, 64 are needed"));
+    }
+    let links = (sockets - spare) * 2 / 5;
+    Ok(Berths { clients: sockets - spare - links, links })
+}
+
+/// Nested JSON as `path=value` lines have it: lists of plain values joined by commas, lists of objects with
+/// their length under `.count`.
+fn flatten(json: &Json, path: String, into: &mut BTreeMap<String, String>) {
+    let below = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+    match json {
+        Json::Object(fields) => fields.iter().for_each(|(name, value)| flatten(value, below(name), into)),
+        Json::List(items) if items.iter().any(|item| matches!(item, Json::Object(_))) => {
+            into.insert(below("count"), items.len().to_string());
+            items.iter().enumerate().for_each(|(at, item)| flatten(item, below(&at.to_string()), into));
+        }
+        Json::List(items) => {
+            let words: Vec<String> = items.iter().map(plain).collect();
+            into.insert(path, words.join(","));
+        }
+        other => drop(into.insert(path, plain(other))),
+    }
+}
+
+fn plain(json: &Json) -> String {
+    match json {
+        Json::Bool(value) => value.to_string(),
+        Json::Number(digits) => digits.clone(),
+        Json::Text(text) => text.clone(),
+        Json::Null | Json::List(_) | Json::Object(_) => String::new(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    const ORDERS: &str = r#"{"name":"n3","listen":"127.0.0.4:8443","discovery":"127.0.0.1:8500",
+      "seed":"8c1f30d27a5be964","limits":{"sockets":1024},
+      "known":{"generation":41,"reset":true,"instances":[]},
+      "settings":{"tick":5000,"areas":["a","b"],"services":[{"name":"x y","aim":2}],"customers":[]}}"#;
+
+    fn read(text: &str) -> Result<Orders, String> {
+        Orders::from_json(&Json::parse(text.as_bytes())?, |_| None)
+    }
+
+    #[test]
+    fn the_settings_are_the_readings_of_the_simulators_wire() {
+        let orders = read(ORDERS).unwrap();
+        assert_eq!((orders.seed, orders.known.version), (0x8c1f_30d2_7a5b_e964, 41));
+        assert_eq!(orders.readings.words("areas"), ["a", "b"]);
+        assert_eq!(orders.readings.names("services"), Ok(vec!["x y".into()]));
+        assert_eq!(orders.readings.number("tick", 0.0), Ok(5000.0));
+        assert!(orders.berths.clients + orders.berths.links < 1024);
+    }
+
+    #[test_case("\"seed\":\"8c1f30d27a5be964\"", "\"seed\":7", "seed is not a text of hex digits")]
+    #[test_case("127.0.0.4:8443", "here", "listen is no address and port: here")]
+    #[test_case("\"name\":\"n3\",", "", "no name, and ROUTER_NAME is not set")]
+    #[test_case("\"sockets\":1024", "\"sockets\":3", "limits.sockets: 3 is too few, 64 are needed")]
+    #[test_case("\"generation\":41,", "", "known: no generation")]
+    #[test_case("settings\":{", "other\":{", "no settings")]
+    fn what_is_wrong_is_told_with_its_place(from: &str, to: &str, says: &str) {
+        assert_eq!(read(&ORDERS.replace(from, to)).err(), Some(says.into()));
+    }
+}
--- /dev/null
+++ b/crates/mixer/src/program/watch.rs
@@ -0,0 +1,116 @@
+//! Discovery: one call after another on one connection, each as soon as it is wished for.
+
+use super::hub::Hub;
+use crate::protocol::http::{get, Reader};
+use crate::protocol::json::Json;
+use crate::protocol::lists::{news, watch_path, whole_path, News};
+use crate::protocol::MOST_BODY;
+use crate::routing::Event;
+use crate::transport::{dial, Bell, Inbox, Stream};
+use async_io::Timer;
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long the agent may hold a watch: long, as each answer costs a call, and well under its minute.
+const HELD: Duration = Duration::from_millis(10_000);
+/// How much longer an answer may take that is due: the agent stands on this machine.
+const LATE: Duration = Duration::from_millis(1_000);
+
+/// What is to be asked next, once.
+#[derive(Default)]
+pub struct Wish {
+    after: Cell<Option<Option<u64>>>,
+    bell: Bell,
+}
+
+impl Wish {
+    pub fn wish(&self, after: Option<u64>) {
+        self.after.set(Some(after));
+        self.bell.ring();
+    }
+}
+
+pub async fn keep(hub: Rc<Hub>, agent: SocketAddr) {
+    let mut agent = Agent { at: agent, stream: None };
+    let mut silent = false;
+    loop {
+        hub.watch.bell.wait().await;
+        let Some(after) = hub.watch.after.take() else { continue };
+        let event = match agent.ask(after).await {
+            Ok(news) => {
+                if std::mem::take(&mut silent) {
+                    log::info!("discovery answers again, version {}", news.version);
+                }
+                Event::Told(news)
+            }
+            Err(what) => {
+                agent.stream = None;
+                if !std::mem::replace(&mut silent, true) {
+                    log::warn!("discovery at {}: {what}; the last list stands", agent.at);
+                }
+                Event::WatchBroke
+            }
+        };
+        hub.feed(event);
+    }
+}
+
+struct Agent {
+    at: SocketAddr,
+    stream: Option<Stream>,
+}
+
+impl Agent {
+    async fn ask(&mut self, after: Option<u64>) -> Result<News, String> {
+        let held = after.map_or(Duration::ZERO, |_| HELD);
+        let path = after.map_or_else(whole_path, |version| watch_path(version, HELD.as_millis() as u64));
+        let late = async {
+            Timer::after(held + LATE).await;
+            Err("no answer in time".to_string())
+        };
+        future::or(self.call(&path), late).await
+    }
+
+    /// A kept connection that was closed meanwhile is no failure: the call is made once more on a new one.
+    async fn call(&mut self, path: &str) -> Result<News, String> {
+        if let Some(stream) = &self.stream {
+            if let Ok(answer) = self.exchange(stream, path).await {
+                return self.heard(answer);
+            }
+        }
+        let stream = dial(self.at, LATE).await.map_err(|e| e.to_string())?;
+        let answer = self.exchange(&stream, path).await;
+        self.stream = Some(stream);
+        self.heard(answer?)
+    }
+
+    fn heard(&mut self, (status, keeps, body): (String, bool, Vec<u8>)) -> Result<News, String> {
+        if !keeps {
+            self.stream = None;
+        }
+        if status != "200" {
+            return Err(format!("status {status:.10}"));
+        }
+        news(&Json::parse(&body)?)
+    }
+
+    async fn exchange(&self, mut stream: &Stream, path: &str) -> Result<(String, bool, Vec<u8>), String> {
+        let failed = |e: std::io::Error| e.to_string();
+        stream.write_all(&get(path, &self.at.to_string())).await.map_err(failed)?;
+        let (mut inbox, mut reader) = (Inbox::new(MOST_BODY + 16 * 1024), Reader::default());
+        loop {
+            let (used, message) = reader.read(inbox.unread()).map_err(|fault| format!("{fault:?}"))?;
+            inbox.used(used);
+            if let Some(message) = message {
+                return Ok((message.start[1].clone(), message.keeps(), message.body));
+            }
+            match stream.read(inbox.space()).await.map_err(failed)? {
+                0 => return Err("it closed the connection".into()),
+                count => inbox.came(count),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mixer/src/protocol/frames.rs
@@ -0,0 +1,153 @@
+//! Searcher frames: a length of four bytes, a letter, and the rest.
+
+use super::MOST_BODY;
+
+/// A line before a value.
+const MOST_LINE: usize = 1024;
+/// What the length of one frame may count.
+pub const MOST_FRAME: usize = 1 + MOST_LINE + MOST_BODY;
+
+/// How a searcher ended a part.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum PartEnd {
+    Honoured,
+    Erred,
+    TurnedAway,
+}
+
+/// What a searcher says.
+#[derive(Debug, PartialEq)]
+pub enum Frame {
+    Part {
+        id: String,
+        end: PartEnd,
+        value: String,
+    },
+    /// A check's answer.
+    Check(bool),
+    /// A load report, which nothing here asks for.
+    Report,
+    /// The frame before could not be used.
+    Objection(String),
+}
+
+/// One part of a call, on its way to a searcher.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Errand {
+    pub id: String,
+    pub shard: u32,
+    pub waits_ms: u64,
+    pub label: Option<String>,
+    pub text: std::rc::Rc<str>,
+}
+
+/// The next frame, where all of it has come, and how many bytes it took.
+pub fn next(bytes: &[u8]) -> Result<Option<(Frame, usize)>, &'static str> {
+    let Some((length, rest)) = bytes.split_first_chunk::<4>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*length) as usize;
+    if length == 0 || length > MOST_FRAME {
+        return Err("a frame's length is out of bounds");
+    }
+    let Some((letter, body)) = rest.get(..length).and_then(<[u8]>::split_first) else { return Ok(None) };
+    let body = std::str::from_utf8(body).map_err(|_| "a frame is not text")?;
+    let frame = match letter {
+        b'q' => part(body)?,
+        b'o' => Frame::Check(match body {
+            "good" => true,
+            "bad" => false,
+            _ => return Err("a check's answer is unknown"),
+        }),
+        b'p' => Frame::Report,
+        b'r' => Frame::Objection(body.chars().take(200).collect()),
+        _ => return Err("a frame's letter is unknown"),
+    };
+    Ok(Some((frame, 4 + length)))
+}
+
+fn part(body: &str) -> Result<Frame, &'static str> {
+    let (line, value) = body.split_once('\n').ok_or("a part's line has no end")?;
+    let words: Vec<&str> = line.split(' ').collect();
+    let [id, end, _score, _report] = words[..] else { return Err("a part's line has not four words") };
+    let end = match end {
+        "good" => PartEnd::Honoured,
+        "bad" => PartEnd::Erred,
+        "later" => PartEnd::TurnedAway,
+        _ => return Err("a part's end is unknown"),
+    };
+    Ok(Frame::Part { id: id.into(), end, value: value.into() })
+}
+
+fn frame(letter: u8, body: &[u8]) -> Vec<u8> {
+    let mut bytes = ((body.len() + 1) as u32).to_be_bytes().to_vec();
+    bytes.push(letter);
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+pub fn call(errands: &[Errand]) -> Vec<u8> {
+    let mut body = String::new();
+    for errand in errands {
+        let label = errand.label.as_ref().map_or(String::new(), |label| format!(",k={label}"));
+        let Errand { id, shard, waits_ms, text, .. } = errand;
+        body.push_str(&format!("{id} {shard} d={waits_ms}{label} {}\n{text}", text.len()));
+    }
+    frame(b'm', body.as_bytes())
+}
+
+pub fn give_up(id: &str) -> Vec<u8> {
+    frame(b'n', id.as_bytes())
+}
+
+pub fn check() -> Vec<u8> {
+    frame(b'o', b"")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    fn said(letter: u8, body: &str) -> Vec<u8> {
+        frame(letter, body.as_bytes())
+    }
+
+    #[test]
+    fn a_call_is_written_as_the_page_shows() {
+        let label = Some("5c0f6e1a2b3d4c59a8b7c6d5e4f30211".to_string());
+        let id = "9b1f03aa5c7e2d41.3".to_string();
+        let errand = Errand { id, shard: 3, waits_ms: 240, label, text: "c41e77d0".into() };
+        let line = "9b1f03aa5c7e2d41.3 3 d=240,k=5c0f6e1a2b3d4c59a8b7c6d5e4f30211 8\nc41e77d0";
+        assert_eq!(call(std::slice::from_ref(&errand)), said(b'm', line));
+        let plain = Errand { label: None, shard: 4, text: "é\n".into(), ..errand.clone() };
+        let second = "9b1f03aa5c7e2d41.3 4 d=240 3\né\n";
+        assert_eq!(call(&[errand, plain]), said(b'm', &format!("{line}{second}")));
+        assert_eq!((give_up("a.3"), check()), (said(b'n', "a.3"), said(b'o', "")));
+    }
+
+    #[test_case(b'q', "a.3 good 1840277719 -\n5be2a07c\n x", Frame::Part { id: "a.3".into(), end: PartEnd::Honoured, value: "5be2a07c\n x".into() }; "honoured")]
+    #[test_case(b'q', "a.3 bad 0 -\n", Frame::Part { id: "a.3".into(), end: PartEnd::Erred, value: "".into() }; "erred")]
+    #[test_case(b'q', "a.3 later 0 q=2\n", Frame::Part { id: "a.3".into(), end: PartEnd::TurnedAway, value: "".into() }; "turned away")]
+    #[test_case(b'o', "good", Frame::Check(true); "there")]
+    #[test_case(b'o', "bad", Frame::Check(false); "not there")]
+    #[test_case(b'p', "-", Frame::Report; "report")]
+    #[test_case(b'r', "no such shard", Frame::Objection("no such shard".into()); "objection")]
+    fn a_frame_is_read_whole_and_never_before(letter: u8, body: &str, frame: Frame) {
+        let bytes = [said(letter, body), vec![0]].concat();
+        for cut in 0..bytes.len() - 1 {
+            assert_eq!(next(&bytes[..cut]), Ok(None), "cut at {cut}");
+        }
+        assert_eq!(next(&bytes), Ok(Some((frame, bytes.len() - 1))));
+    }
+
+    #[test_case(&[0, 0, 0, 0], "out of bounds"; "empty")]
+    #[test_case(&[0, 2, 0, 0, b'q'], "out of bounds"; "over long, before it has come")]
+    #[test_case(&said(b'z', ""), "letter"; "unknown letter")]
+    #[test_case(&said(b'q', "a good 1 -"), "no end"; "no line feed")]
+    #[test_case(&said(b'q', "a good 1\n"), "four words"; "three words")]
+    #[test_case(&said(b'q', "a fine 1 -\n"), "end is unknown"; "unknown end")]
+    #[test_case(&said(b'o', "maybe"), "check"; "unknown answer to a check")]
+    #[test_case(&[0, 0, 0, 2, b'q', 0xff], "not text"; "not text")]
+    fn what_is_malformed_is_told(bytes: &[u8], says: &str) {
+        assert!(next(bytes).is_err_and(|what| what.contains(says)));
+    }
+}
--- /dev/null
+++ b/crates/mixer/src/routing/desk.rs
@@ -0,0 +1,301 @@
+//! The module's host: its calls become effects, and ids become scans, relays and links.
+
+use super::alarms::{Alarm, Alarms};
+use super::clients::{Clients, Doing};
+use super::pool::{Call, Pool, Stand};
+use super::roll::Roll;
+use super::{CallId, ClientId, Effect, LinkId, Reply};
+use crate::protocol::frames::Errand;
+use fernglade::{Host, Landing, Moment, ScanId, Searcher, Span, Ticket};
+use fernglade_fronts::Slots;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+/// A scan that is open. It goes with its final answer.
+pub struct Open {
+    pub client: ClientId,
+    pub name: String,
+    pub label: Option<String>,
+    pub text: Rc<str>,
+    /// Each part's shard, and its value once it is in.
+    pub parts: Vec<(u32, Option<String>)>,
+    /// How many bytes of an answer its values take so far.
+    pub size: usize,
+}
+
+/// A relay that has not landed.
+pub struct Relay {
+    pub scan: ScanId,
+    pub part: usize,
+    pub to: Searcher,
+    pub left: Moment,
+    due: Moment,
+    errand: Errand,
+    place: Option<(LinkId, CallId)>,
+}
+
+#[derive(Default)]
+pub struct Desk {
+    pub now: Moment,
+    pub effects: Vec<Effect>,
+    pub clients: Clients,
+    pub scans: Slots<Open>,
+    pub names: BTreeMap<String, ScanId>,
+    /// Scans and parts that are open.
+    pub held: usize,
+    pub relays: BTreeMap<Ticket, Relay>,
+    /// Relays of this event, not yet on a link.
+    unplaced: Vec<Ticket>,
+    /// Relays that landed while the module was busy, or now.
+    pub landed: VecDeque<(Ticket, Landing, Span)>,
+    /// Checks that ended while the module was busy.
+    pub checked: VecDeque<(Searcher, bool)>,
+    pub pool: Pool,
+    pub roll: Roll,
+    pub alarms: Alarms,
+    pub dial_within: Span,
+    pub may_call_off: bool,
+    pub stopping: bool,
+}
+
+impl Desk {
+    pub fn land(&mut self, ticket: Ticket, how: Landing) -> Option<Relay> {
+        let relay = self.relays.remove(&ticket)?;
+        self.landed.push_back((ticket, how, self.now.since(relay.left)));
+        Some(relay)
+    }
+
+    /// Ends our wait for a relay. What has not been written of it never is.
+    pub fn give_up(&mut self, ticket: Ticket, how: Landing) {
+        let Some(Relay { place: Some((link_id, call_id)), .. }) = self.land(ticket, how) else { return };
+        let Some(link) = self.pool.links.get_mut(&link_id) else { return };
+        let Some(call) = link.calls.get_mut(&call_id) else { return };
+        let Some(at) = call.parts.iter().position(|(other, _)| *other == ticket) else { return };
+        let (_, id) = call.parts.remove(at);
+        match call.stand {
+            Stand::Held => {}
+            Stand::Handed | Stand::Recalled => {
+                call.given_up.push(id);
+                if call.stand == Stand::Handed {
+                    call.stand = Stand::Recalled;
+                    self.effects.push(Effect::Withdraw(link_id, call_id));
+                }
+                return;
+            }
+            Stand::Out => self.effects.push(Effect::GiveUp { link: link_id, id }),
+        }
+        if call.parts.is_empty() {
+            link.calls.remove(&call_id);
+        }
+    }
+
+    pub fn overdue(&mut self, ticket: Ticket, left: Moment) {
+        if self.relays.get(&ticket).is_some_and(|relay| relay.left == left) {
+            self.give_up(ticket, Landing::Silent);
+        }
+    }
+
+    pub fn link_up(&mut self, id: LinkId) {
+        let Some(link) = self.pool.links.get_mut(&id) else { return };
+        link.up = true;
+        let calls: Vec<CallId> = link.calls.keys().copied().collect();
+        if link.checking {
+            self.effects.push(Effect::Check(id));
+        }
+        calls.into_iter().for_each(|call| self.hand_over(id, call));
+    }
+
+    /// Hands a call over to be written.
+    fn hand_over(&mut self, link_id: LinkId, call_id: CallId) {
+        let Some(call) = self.pool.links.get_mut(&link_id).and_then(|l| l.calls.get_mut(&call_id)) else {
+            return;
+        };
+        call.stand = Stand::Handed;
+        let errand = |(ticket, _): &(Ticket, String)| {
+            let relay = self.relays.get(ticket)?;
+            let waits_ms = (relay.due.since(self.now).micros() / 1000).max(1);
+            Some(Errand { waits_ms, ..relay.errand.clone() })
+        };
+        let errands = call.parts.iter().filter_map(errand).collect();
+        self.effects.push(Effect::Call { link: link_id, call: call_id, errands });
+    }
+
+    pub fn call_out(&mut self, link_id: LinkId, call_id: CallId) {
+        let Some(link) = self.pool.links.get_mut(&link_id) else { return };
+        let Some(call) = link.calls.get_mut(&call_id) else { return };
+        call.stand = Stand::Out;
+        let given_up = std::mem::take(&mut call.given_up);
+        if call.parts.is_empty() {
+            link.calls.remove(&call_id);
+        }
+        self.effects.extend(given_up.into_iter().map(|id| Effect::GiveUp { link: link_id, id }));
+    }
+
+    /// A call was taken back: its parts that are still wanted go out anew, unless their searcher has left.
+    pub fn withdrawn(&mut self, link_id: LinkId, call_id: CallId) {
+        let Some(link) = self.pool.links.get_mut(&link_id) else { return };
+        let Some(call) = link.calls.remove(&call_id) else { return };
+        let ready = self.roll.is_ready(link.to);
+        for (ticket, _) in call.parts {
+            if ready {
+                self.unplaced.push(ticket);
+            } else {
+                self.land(ticket, Landing::Unsent);
+            }
+        }
+    }
+
+    /// Takes back what was not written to searchers that are to get nothing new, and lets go of their links.
+    pub fn keep_drains(&mut self) {
+        let roll = &self.roll;
+        let idle = self
+            .pool
+            .drop_idle(|link| !roll.is_ready(link.to) || roll.address(link.to) != Some(link.address));
+        self.effects.extend(idle.into_iter().map(Effect::HangUp));
+        let mut dropped = Vec::new();
+        for (link_id, link) in self.pool.links.iter_mut().filter(|(_, link)| !roll.is_ready(link.to)) {
+            for (call_id, call) in &mut link.calls {
+                match call.stand {
+                    Stand::Held => dropped.push((*link_id, *call_id)),
+                    Stand::Handed => {
+                        call.stand = Stand::Recalled;
+                        self.effects.push(Effect::Withdraw(*link_id, *call_id));
+                    }
+                    Stand::Recalled | Stand::Out => {}
+                }
+            }
+        }
+        dropped.into_iter().for_each(|(link, call)| self.withdrawn(link, call));
+    }
+
+    /// Puts the relays of this event on links, those to one searcher in shared calls.
+    pub fn place_all(&mut self) {
+        let mut by_searcher: BTreeMap<Searcher, Vec<Ticket>> = BTreeMap::new();
+        for ticket in std::mem::take(&mut self.unplaced) {
+            if let Some(relay) = self.relays.get(&ticket) {
+                by_searcher.entry(relay.to).or_default().push(ticket);
+            }
+        }
+        for (to, tickets) in by_searcher {
+            tickets.chunks(self.pool.per_call.max(1)).for_each(|call| self.place(to, call));
+        }
+    }
+
+    fn place(&mut self, to: Searcher, tickets: &[Ticket]) {
+        let address = self.roll.address(to);
+        let found =
+            address.and_then(|address| self.pool.with_room(to, address).or_else(|| self.dial(to, address)));
+        let Some(link_id) = found else {
+            tickets.iter().for_each(|ticket| drop(self.land(*ticket, Landing::Unsent)));
+            return;
+        };
+        let call_id = CallId(self.pool.number());
+        let mut parts = Vec::new();
+        for ticket in tickets {
+            if let Some(relay) = self.relays.get_mut(ticket) {
+                relay.place = Some((link_id, call_id));
+                parts.push((*ticket, relay.errand.id.clone()));
+            }
+        }
+        let Some(link) = self.pool.links.get_mut(&link_id) else { return };
+        link.calls.insert(call_id, Call { parts, stand: Stand::Held, given_up: Vec::new() });
+        if link.up {
+            self.hand_over(link_id, call_id);
+        }
+    }
+
+    fn dial(&mut self, to: Searcher, address: std::net::SocketAddr) -> Option<LinkId> {
+        let link = self.pool.open(to, address)?;
+        self.effects.push(Effect::Dial { link, to: address, within: self.dial_within });
+        Some(link)
+    }
+
+    pub fn reply(&mut self, client: ClientId, reply: Reply, last: bool) {
+        let last = last || self.stopping;
+        self.clients.set(client, if last { Doing::Leaving } else { Doing::Idle(self.now) });
+        self.effects.push(Effect::Reply { client, reply, last });
+    }
+
+    /// What is held of a scan goes.
+    pub fn close(&mut self, id: ScanId) -> Option<Open> {
+        let open = self.scans.close(id)?;
+        self.names.remove(&open.name);
+        self.held -= 1 + open.parts.len();
+        Some(open)
+    }
+
+    fn finish(&mut self, id: ScanId, reply: impl FnOnce(Open) -> Reply) {
+        if let Some(open) = self.close(id) {
+            let client = open.client;
+            self.reply(client, reply(open), false);
+        }
+    }
+}
+
+impl Host for Desk {
+    fn now(&self) -> Moment {
+        self.now
+    }
+
+    fn relay(&mut self, ticket: Ticket, scan: ScanId, part: usize, to: Searcher, patience: Span) {
+        let due = self.now + patience;
+        let Some(open) = self.scans.get(scan) else {
+            self.landed.push_back((ticket, Landing::Unsent, Span::ZERO));
+            return;
+        };
+        let shard = open.parts[part].0;
+        let (id, label, text) = (format!("{}.{shard}", open.name), open.label.clone(), open.text.clone());
+        let errand = Errand { id, shard, waits_ms: 0, label, text };
+        self.relays.insert(ticket, Relay { scan, part, to, left: self.now, due, errand, place: None });
+        self.unplaced.push(ticket);
+        self.alarms.set(due, Alarm::Overdue(ticket, self.now));
+    }
+
+    fn call_off(&mut self, relay: Ticket) {
+        if self.may_call_off {
+            self.give_up(relay, Landing::CalledOff);
+        }
+    }
+
+    fn answer(&mut self, scan: ScanId, whole: bool, _last: bool) {
+        let values = |open: Open| {
+            let parts = open.parts.into_iter();
+            let values = parts.filter_map(|(shard, value)| Some((shard, value?))).collect();
+            Reply::Answer { whole, values }
+        };
+        self.finish(scan, values);
+    }
+
+    fn bounce(&mut self, scan: ScanId, pause: Span) {
+        self.finish(scan, |_| Reply::Bounce(pause));
+    }
+
+    fn write_off(&mut self, scan: ScanId) {
+        self.finish(scan, |_| Reply::WriteOff);
+    }
+
+    fn wake(&mut self, ticket: Ticket, at: Moment) {
+        self.alarms.set(at, Alarm::Wake(ticket));
+    }
+
+    fn check(&mut self, searcher: Searcher) {
+        let Some(address) = self.roll.address(searcher).filter(|_| self.roll.is_ready(searcher)) else {
+            return;
+        };
+        let found = self.pool.to_check(searcher, address).or_else(|| self.dial(searcher, address));
+        let Some(link) = found.and_then(|id| self.pool.links.get_mut(&id)) else { return };
+        link.checking = true;
+        if link.up {
+            self.effects.extend(found.map(Effect::Check));
+        }
+    }
+
+    fn hang_up(&mut self, searcher: Searcher) {
+        let idle = self.pool.drop_idle(|link| link.to == searcher);
+        self.effects.extend(idle.into_iter().map(Effect::HangUp));
+    }
+
+    fn watch_list(&mut self) {
+        self.effects.push(Effect::Watch(self.roll.version));
+    }
+}
--- /dev/null
+++ b/crates/mixer/src/routing/ending.rs
@@ -0,0 +1,45 @@
+//! The ways in which a connection ends, and what each means for the parts on it.
+
+use fernglade::Landing;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// Nobody listens there.
+    Refused,
+    /// It was not up within the time given.
+    NeverUp,
+    /// There is no way there.
+    NoWay,
+    /// We had no descriptor or memory for it.
+    Short,
+    /// The other side closed it while nothing was out on it.
+    ClosedIdle,
+    /// The other side closed it.
+    Ended,
+    /// It broke.
+    Broke,
+    /// What came over it can't be read.
+    Garbled,
+    /// The searcher could not use what we sent, and said so.
+    Objected,
+    /// It takes no more bytes, and what waits for it is at its bound.
+    Stuck,
+    /// We closed it.
+    HungUp,
+}
+
+impl Ending {
+    /// How a part lands whose connection ended so; `out` tells whether its call's last byte was written.
+    pub fn landing(self, out: bool) -> Landing {
+        match (self, out) {
+            (Ending::Short, _) | (Ending::Stuck | Ending::HungUp, false) => Landing::Unsent,
+            (Ending::Refused | Ending::NeverUp | Ending::NoWay, _) | (_, false) => Landing::Unreached,
+            (Ending::HungUp, true) => Landing::CalledOff,
+            (Ending::Stuck, true) => Landing::Silent,
+            (
+                Ending::ClosedIdle | Ending::Ended | Ending::Broke | Ending::Garbled | Ending::Objected,
+                true,
+            ) => Landing::Dropped,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mixer/src/routing/event.rs
@@ -0,0 +1,106 @@
+//! What happens, and what is to be done about it.
+
+use super::Ending;
+use crate::protocol::frames::{Errand, PartEnd};
+use crate::protocol::lists::News;
+use crate::protocol::scans::{Ask, Blame};
+use fernglade::{Moment, Span};
+use std::net::SocketAddr;
+
+/// A client's connection. Never given twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ClientId(pub u64);
+
+/// A connection to a searcher. Never given twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LinkId(pub u64);
+
+/// One call on a link, of one part or several.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallId(pub u64);
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    ClientCame(ClientId),
+    /// The first byte of a request has come.
+    Stirred(ClientId),
+    Asked(ClientId, Ask),
+    HealthAsked(ClientId),
+    /// It asked for what can't be had; `lost` where nothing more can be read from it.
+    Misasked(ClientId, Blame, bool),
+    ClientGone(ClientId),
+    LinkUp(LinkId),
+    /// A call's last byte was written.
+    CallOut(LinkId, CallId),
+    /// A call was taken back, and none of it was written.
+    Withdrawn(LinkId, CallId),
+    PartBack {
+        link: LinkId,
+        id: String,
+        end: PartEnd,
+        value: String,
+    },
+    CheckBack(LinkId, bool),
+    LinkEnded(LinkId, Ending),
+    Told(News),
+    WatchBroke,
+    /// The time asked for by `Effect::Alarm` has come.
+    TimeCame,
+    StopAsked,
+    /// Who stood outside has been let in, and nobody listens any more.
+    DoorShut,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// The answer to what a client asked last; `last` where its connection ends with it.
+    Reply {
+        client: ClientId,
+        reply: Reply,
+        last: bool,
+    },
+    /// Ends a client's connection.
+    Dismiss(ClientId),
+    /// Whether new clients are let in; those that wait outside stay there.
+    Door(bool),
+    /// No more clients: lets in who already stands outside, and stops listening.
+    ShutDoor,
+    Dial {
+        link: LinkId,
+        to: SocketAddr,
+        within: Span,
+    },
+    Call {
+        link: LinkId,
+        call: CallId,
+        errands: Vec<Errand>,
+    },
+    /// Takes a call back if none of it was written; `Event::Withdrawn` if so.
+    Withdraw(LinkId, CallId),
+    GiveUp {
+        link: LinkId,
+        id: String,
+    },
+    Check(LinkId),
+    HangUp(LinkId),
+    /// Asks discovery: for what is newer than a version, or for the whole list.
+    Watch(Option<u64>),
+    /// Asks for `Event::TimeCame` at that time; replaces what was asked for before.
+    Alarm(Moment),
+    /// A link is over, for the log.
+    Note {
+        to: String,
+        ending: Ending,
+    },
+    /// All is done: the program may end.
+    Leave,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    Answer { whole: bool, values: Vec<(u32, String)> },
+    Bounce(Span),
+    WriteOff,
+    Health(bool),
+    Refusal(Blame),
+}
--- /dev/null
+++ b/crates/mixer/src/routing/mod.rs
@@ -0,0 +1,18 @@
+//! Where a scan goes, as one state machine: [`reduce`] takes an event and leaves effects. It holds the module
+//! and is its `Host`; it has no sockets, and no clock but the events' time.
+
+mod alarms;
+mod clients;
+mod desk;
+mod ending;
+mod event;
+mod pool;
+mod roll;
+mod state;
+
+#[cfg(test)]
+mod tests;
+
+pub use ending::Ending;
+pub use event::{CallId, ClientId, Effect, Event, LinkId, Reply};
+pub use state::{reduce, Berths, State};
--- /dev/null
+++ b/crates/mixer/src/routing/pool.rs
@@ -0,0 +1,103 @@
+//! The links to searchers, and the calls on them.
+
+use super::{CallId, LinkId};
+use fernglade::{Searcher, Ticket};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Where a call stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Stand {
+    /// Its link is not up yet.
+    Held,
+    /// Handed over to be written.
+    Handed,
+    /// To be taken back, if that is still possible.
+    Recalled,
+    /// Its last byte was written.
+    Out,
+}
+
+/// Takes one place on its link until its last part has landed.
+pub struct Call {
+    pub parts: Vec<(Ticket, String)>,
+    pub stand: Stand,
+    /// Ids given up while it could not be taken back.
+    pub given_up: Vec<String>,
+}
+
+pub struct Link {
+    pub to: Searcher,
+    pub address: SocketAddr,
+    pub up: bool,
+    pub calls: BTreeMap<CallId, Call>,
+    pub checking: bool,
+}
+
+impl Link {
+    pub fn is_idle(&self) -> bool {
+        self.calls.is_empty() && !self.checking
+    }
+
+    /// The call and place of a part that is out on it.
+    pub fn find(&self, id: &str) -> Option<(CallId, Ticket)> {
+        let within =
+            |call: &Call| call.parts.iter().find(|(_, known)| known == id).map(|(ticket, _)| *ticket);
+        self.calls.iter().find_map(|(number, call)| Some((*number, within(call)?)))
+    }
+}
+
+/// Bounded by the descriptors set aside for it.
+#[derive(Default)]
+pub struct Pool {
+    pub links: BTreeMap<LinkId, Link>,
+    /// Calls that a link carries at once, and parts that a call holds.
+    pub per_link: usize,
+    pub per_call: usize,
+    pub most: usize,
+    count: u64,
+}
+
+impl Pool {
+    pub fn number(&mut self) -> u64 {
+        self.count += 1;
+        self.count
+    }
+
+    /// The link that has room for one more call: one that is up before one that is not, and of these the one
+    /// that has served longest, so that the others can fall idle.
+    pub fn with_room(&self, to: Searcher, address: SocketAddr) -> Option<LinkId> {
+        let fits = |link: &Link| link.calls.len() < self.per_link;
+        self.of(to, address).filter(|(_, link)| fits(link)).min_by_key(|(_, link)| !link.up).map(|(id, _)| id)
+    }
+
+    /// The link to ask whether its searcher is there: not one that still owes an answer.
+    pub fn to_check(&self, to: Searcher, address: SocketAddr) -> Option<LinkId> {
+        self.of(to, address).find(|(_, link)| !link.checking).map(|(id, _)| id)
+    }
+
+    /// The links to a searcher at its present address.
+    fn of(&self, to: Searcher, address: SocketAddr) -> impl Iterator<Item = (LinkId, &Link)> {
+        let here = move |link: &Link| link.to == to && link.address == address;
+        self.links.iter().filter(move |(_, link)| here(link)).map(|(id, link)| (*id, link))
+    }
+
+    /// A further link, where descriptors are left for one.
+    pub fn open(&mut self, to: Searcher, address: SocketAddr) -> Option<LinkId> {
+        if self.links.len() >= self.most {
+            return None;
+        }
+        let id = LinkId(self.number());
+        let link = Link { to, address, up: false, calls: BTreeMap::new(), checking: false };
+        self.links.insert(id, link);
+        Some(id)
+    }
+
+    /// Takes out the links on which nothing is going on.
+    pub fn drop_idle(&mut self, of: impl Fn(&Link) -> bool) -> Vec<LinkId> {
+        let gone = |(id, link): (&LinkId, &Link)| (link.is_idle() && of(link)).then_some(*id);
+        let gone: Vec<LinkId> = self.links.iter().filter_map(gone).collect();
+        gone.iter().for_each(|id| drop(self.links.remove(id)));
+        gone
+    }
+}
--- /dev/null
+++ b/crates/mixer/src/routing/state.rs
@@ -0,0 +1,302 @@
+//! The one place where state changes.
+
+use super::alarms::Alarm;
+use super::clients::Doing;
+use super::desk::{Desk, Open};
+use super::pool::Stand;
+use super::{ClientId, Effect, Ending, Event, LinkId, Reply};
+use crate::protocol::frames::PartEnd;
+use crate::protocol::lists::News;
+use crate::protocol::scans::{Ask, Blame, PART_FRAME};
+use crate::protocol::MOST_BODY;
+use fernglade::choice::Mixer;
+use fernglade::{Effect as Redoing, Landing, Moment, PartTaken, ScanTaken, Span, Ticket, TrafficType};
+use fernglade_fronts::{Misread, Readings};
+use std::collections::BTreeSet;
+
+/// A request that has begun is to be whole within this; clients send theirs in one piece.
+const HALF_ASKED: Span = Span::of_millis(5_000);
+/// After a stop is asked for, clients go on coming for 0.4 s at most (PROTOCOL.md); what comes later than
+/// 0.7 s is nobody's.
+const DOOR_OPEN: Span = Span::of_millis(600);
+/// Who stood outside when the door was shut has so long to ask.
+const LAST_CALL: Span = Span::of_millis(50);
+
+/// How many connections of each kind the descriptors allow.
+#[derive(Clone, Copy, Debug)]
+pub struct Berths {
+    pub clients: usize,
+    pub links: usize,
+}
+
+pub struct State {
+    mixer: Mixer,
+    desk: Desk,
+    types: Vec<(String, TrafficType)>,
+    customers: Vec<String>,
+    shards: u32,
+    /// Scans and parts that may be open at once.
+    most_held: usize,
+    /// No client comes any more, and none that is idle stays.
+    last_call: bool,
+}
+
+impl State {
+    pub fn new(readings: &Readings, seed: u64, berths: Berths) -> Result<Self, Misread> {
+        let types: Vec<_> = readings.names("services")?.into_iter().zip(readings.traffic_types()?).collect();
+        if let Some((name, _)) = types.iter().find(|(_, kind)| kind.second_step) {
+            return Err(Misread(format!("settings: {name}: a second step is not spoken on sockets")));
+        }
+        let mut desk = Desk::default();
+        desk.may_call_off = readings.yes("limits.cancel");
+        desk.dial_within = readings.span("limits.dial_timeout")?;
+        desk.clients.most = berths.clients.max(1);
+        desk.pool.most = berths.links.max(1);
+        desk.pool.per_link = readings.number("limits.multiplex", 1.0)?.max(1.0) as usize;
+        desk.pool.per_call = readings.number("family_info.per_call", 1.0)?.max(1.0) as usize;
+        let areas = readings.words("areas");
+        desk.roll.dear_outside =
+            readings.dear_outside()?.map(|zone| areas.get(usize::from(zone)).cloned().unwrap_or_default());
+        Ok(Self {
+            mixer: readings.mixer(seed)?,
+            desk,
+            types,
+            customers: readings.names("customers")?,
+            shards: readings.number("family_info.slabs", 0.0)? as u32,
+            most_held: readings.number("limits.max_open", 20_000.0)? as usize,
+            last_call: false,
+        })
+    }
+
+    /// The list as it was last had, and the first watch.
+    pub fn begin(&mut self, known: &News, now: Moment) -> Vec<Effect> {
+        self.desk.now = now;
+        self.hear(known);
+        // What was had may be old: the whole list comes first.
+        self.desk.roll.version = None;
+        self.mixer.watch(&mut self.desk, false);
+        self.settle()
+    }
+
+    /// Lets what has landed be heard, until nothing is left to say, and gives what is to be done.
+    fn settle(&mut self) -> Vec<Effect> {
+        loop {
+            self.desk.place_all();
+            if let Some((ticket, how, took)) = self.desk.landed.pop_front() {
+                self.mixer.landed(&mut self.desk, ticket, how, took);
+            } else if let Some((searcher, there)) = self.desk.checked.pop_front() {
+                self.mixer.checked(&mut self.desk, searcher, there);
+            } else {
+                break;
+            }
+        }
+        let desk = &mut self.desk;
+        desk.effects.extend(desk.clients.door().filter(|_| !desk.stopping).map(Effect::Door));
+        desk.effects.extend(desk.alarms.changed().map(Effect::Alarm));
+        std::mem::take(&mut desk.effects)
+    }
+
+    fn hear(&mut self, news: &News) {
+        let listings = self.desk.roll.take(news);
+        self.mixer.listed(&mut self.desk, news.whole, &listings);
+        self.desk.keep_drains();
+    }
+
+    fn asked(&mut self, client: ClientId, ask: Ask) {
+        let Some(Doing::Asking(began)) = self.desk.clients.doing(client) else { return };
+        let scan = match self.taken(&ask, began) {
+            Ok(scan) => scan,
+            Err(blame) => return self.desk.reply(client, Reply::Refusal(blame), false),
+        };
+        // The bench turns such scans away before they reach a mixer; here they come this far.
+        if self.desk.held + 1 + scan.parts.len() > self.most_held {
+            return self.desk.reply(client, Reply::Bounce(Span::ZERO), false);
+        }
+        let parts: Vec<_> = ask.parts.iter().map(|part| (part.shard, None)).collect();
+        self.desk.held += 1 + parts.len();
+        let open =
+            Open { client, name: ask.name.clone(), label: ask.label, text: ask.text.into(), parts, size: 0 };
+        let id = self.desk.scans.open(open);
+        self.desk.names.insert(ask.name, id);
+        self.desk.clients.set(client, Doing::Waiting(id));
+        self.mixer.taken(&mut self.desk, id, scan);
+    }
+
+    /// The scan in the module's terms, if it makes sense here.
+    fn taken(&self, ask: &Ask, began: Moment) -> Result<ScanTaken, Blame> {
+        let wrong = |what: String| Err(Blame::Request(what));
+        let Some(traffic_type) = self.types.iter().position(|(name, _)| *name == ask.traffic_type) else {
+            return Err(Blame::Path);
+        };
+        let customer = self.customers.iter().position(|name| *name == ask.customer);
+        if customer.is_none() && !self.customers.is_empty() {
+            return wrong("an unknown X-Tenant-Id".into());
+        }
+        if matches!(self.types[traffic_type].1.effect, Redoing::Labelled(_)) && ask.label.is_none() {
+            return wrong("no Idempotency-Key".into());
+        }
+        if self.desk.names.contains_key(&ask.name) {
+            return Err(Blame::Conflict);
+        }
+        if let Some(part) = ask.parts.iter().find(|part| part.shard >= self.shards) {
+            return wrong(format!("no range {}", part.shard));
+        }
+        let shards: BTreeSet<u32> = ask.parts.iter().map(|part| part.shard).collect();
+        if shards.len() < ask.parts.len() {
+            return wrong("a range stands twice".into());
+        }
+        // Portions are written with so many digits only; what is meant is all of the answer.
+        let sum: f64 = ask.parts.iter().map(|part| part.weight).sum();
+        if (sum - 1.0).abs() > 0.01 {
+            return wrong("the portions are not a whole".into());
+        }
+        let parts = ask.parts.iter().map(|p| PartTaken { shard: p.shard, weight: p.weight / sum }).collect();
+        Ok(ScanTaken {
+            traffic_type,
+            customer: customer.unwrap_or(0),
+            left: ask.left.less(self.desk.now.since(began)),
+            work: ask.parts.iter().filter_map(|part| part.work).reduce(|a, b| a + b),
+            repeat: ask.repeat,
+            parts,
+        })
+    }
+
+    fn client_gone(&mut self, client: ClientId) {
+        if let Some(Doing::Waiting(id)) = self.desk.clients.gone(client) {
+            self.desk.close(id);
+            self.mixer.client_left(&mut self.desk, id);
+        }
+    }
+
+    fn part_back(&mut self, link_id: LinkId, id: &str, end: PartEnd, value: String) {
+        let Some(link) = self.desk.pool.links.get_mut(&link_id) else { return };
+        // Late, given up or never asked for: passed over.
+        let Some((call_id, ticket)) = link.find(id) else { return };
+        if let Some(call) = link.calls.get_mut(&call_id) {
+            call.parts.retain(|(other, _)| *other != ticket);
+            if call.parts.is_empty() {
+                link.calls.remove(&call_id);
+            }
+        }
+        let how = match end {
+            PartEnd::Honoured => self.keep_value(ticket, value),
+            PartEnd::Erred => Landing::Erred,
+            PartEnd::TurnedAway => Landing::TurnedAway,
+        };
+        self.desk.land(ticket, how);
+    }
+
+    /// A value that leaves no room for it in an answer is as good as none.
+    fn keep_value(&mut self, ticket: Ticket, value: String) -> Landing {
+        let Some(relay) = self.desk.relays.get(&ticket) else { return Landing::Erred };
+        let Some(open) = self.desk.scans.get_mut(relay.scan) else { return Landing::Honoured };
+        // Each byte may take six where it is escaped; plain ones are the rule.
+        let escaped = value.bytes().filter(|b| *b < b' ' || matches!(b, b'"' | b'\\')).count();
+        let size = open.size + value.len() + 5 * escaped + PART_FRAME;
+        if size > MOST_BODY - PART_FRAME {
+            return Landing::Erred;
+        }
+        open.size = size;
+        open.parts[relay.part].1 = Some(value);
+        Landing::Honoured
+    }
+
+    fn check_back(&mut self, link_id: LinkId, there: bool) {
+        if let Some(link) = self.desk.pool.links.get_mut(&link_id) {
+            if std::mem::take(&mut link.checking) {
+                self.desk.checked.push_back((link.to, there));
+            }
+        }
+    }
+
+    fn link_ended(&mut self, id: LinkId, ending: Ending) {
+        let Some(link) = self.desk.pool.links.remove(&id) else { return };
+        let idle = ending == Ending::Ended && link.is_idle();
+        let ending = if idle { Ending::ClosedIdle } else { ending };
+        let to = self.desk.roll.name(link.to);
+        self.desk.effects.push(Effect::Note { to, ending });
+        for call in link.calls.into_values() {
+            let how = ending.landing(call.stand == Stand::Out);
+            call.parts.iter().for_each(|(ticket, _)| drop(self.desk.land(*ticket, how)));
+        }
+        if link.checking {
+            self.desk.checked.push_back((link.to, false));
+        }
+    }
+
+    fn time_came(&mut self) {
+        self.desk.alarms.rang();
+        while let Some(alarm) = self.desk.alarms.next(self.desk.now) {
+            match alarm {
+                Alarm::Wake(ticket) => self.mixer.woken(&mut self.desk, ticket),
+                Alarm::Overdue(ticket, left) => self.desk.overdue(ticket, left),
+                Alarm::HalfAsked(client, began) => {
+                    if self.desk.clients.doing(client) == Some(Doing::Asking(began)) {
+                        self.desk.clients.set(client, Doing::Leaving);
+                        self.desk.effects.push(Effect::Dismiss(client));
+                    }
+                }
+                Alarm::ShutDoor => self.desk.effects.push(Effect::ShutDoor),
+                Alarm::LastCall => {
+                    self.last_call = true;
+                    self.send_off_idle();
+                }
+            }
+        }
+    }
+
+    fn send_off_idle(&mut self) {
+        let idle = self.desk.clients.send_off_idle();
+        self.desk.effects.extend(idle.into_iter().map(Effect::Dismiss));
+    }
+
+    fn stop(&mut self) {
+        if !self.desk.stopping {
+            self.desk.stopping = true;
+            self.send_off_idle();
+            self.desk.alarms.set(self.desk.now + DOOR_OPEN, Alarm::ShutDoor);
+        }
+    }
+}
+
+/// Takes an event in, at its time, and gives what is to be done.
+pub fn reduce(state: &mut State, event: Event, now: Moment) -> Vec<Effect> {
+    state.desk.now = now;
+    match event {
+        Event::ClientCame(client) => {
+            state.desk.clients.came(client, now);
+            let leaves = state.desk.clients.send_off_one();
+            state.desk.effects.extend(leaves.map(Effect::Dismiss));
+        }
+        Event::Stirred(client) => {
+            state.desk.clients.set(client, Doing::Asking(now));
+            state.desk.alarms.set(now + HALF_ASKED, Alarm::HalfAsked(client, now));
+        }
+        Event::Asked(client, ask) => state.asked(client, ask),
+        Event::HealthAsked(client) => {
+            let ready = state.desk.roll.any_ready() && !state.desk.stopping;
+            state.desk.reply(client, Reply::Health(ready), false);
+        }
+        Event::Misasked(client, blame, lost) => state.desk.reply(client, Reply::Refusal(blame), lost),
+        Event::ClientGone(client) => state.client_gone(client),
+        Event::LinkUp(link) => state.desk.link_up(link),
+        Event::CallOut(link, call) => state.desk.call_out(link, call),
+        Event::Withdrawn(link, call) => state.desk.withdrawn(link, call),
+        Event::PartBack { link, id, end, value } => state.part_back(link, &id, end, value),
+        Event::CheckBack(link, there) => state.check_back(link, there),
+        Event::LinkEnded(link, ending) => state.link_ended(link, ending),
+        Event::Told(news) => {
+            state.hear(&news);
+            state.desk.effects.push(Effect::Watch(state.desk.roll.version));
+        }
+        Event::WatchBroke => state.mixer.watch(&mut state.desk, true),
+        Event::TimeCame => state.time_came(),
+        Event::StopAsked => state.stop(),
+        Event::DoorShut => state.desk.alarms.set(now + LAST_CALL, Alarm::LastCall),
+    }
+    let mut effects = state.settle();
+    if state.last_call && state.desk.clients.is_empty() {
+        effects.push(Effect::Leave);
+    }
+    effects
+}
--- /dev/null
+++ b/crates/mixer/src/transport/inbox.rs
@@ -0,0 +1,81 @@
+//! What has come over a connection and is not used up: one buffer, which grows as it needs, up to its bound,
+//! and is compacted in place.
+
+/// A first read takes a usual message whole.
+const FIRST: usize = 2048;
+/// An emptied buffer above this is given back, so that one large message does not hold memory for good.
+const KEPT: usize = 16 * 1024;
+
+pub struct Inbox {
+    bytes: Vec<u8>,
+    start: usize,
+    end: usize,
+    most: usize,
+}
+
+impl Inbox {
+    pub fn new(most: usize) -> Self {
+        Self { bytes: Vec::new(), start: 0, end: 0, most }
+    }
+
+    pub fn unread(&self) -> &[u8] {
+        &self.bytes[self.start..self.end]
+    }
+
+    pub fn used(&mut self, count: usize) {
+        self.start = (self.start + count).min(self.end);
+        if self.start == self.end {
+            (self.start, self.end) = (0, 0);
+            if self.bytes.len() > KEPT {
+                self.bytes = Vec::new();
+            }
+        }
+    }
+
+    pub fn is_full(&self) -> bool {
+        self.end - self.start >= self.most
+    }
+
+    /// Where the next bytes are to be read to; empty only where the buffer is full.
+    pub fn space(&mut self) -> &mut [u8] {
+        if self.end == self.bytes.len() && self.start > 0 {
+            self.bytes.copy_within(self.start..self.end, 0);
+            (self.start, self.end) = (0, self.end - self.start);
+        }
+        if self.end == self.bytes.len() {
+            let grown = (self.bytes.len() * 2).clamp(FIRST.min(self.most), self.most);
+            self.bytes.resize(grown, 0);
+        }
+        &mut self.bytes[self.end..]
+    }
+
+    pub fn came(&mut self, count: usize) {
+        self.end = (self.end + count).min(self.bytes.len());
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Inbox;
+
+    fn put(inbox: &mut Inbox, bytes: &[u8]) {
+        for byte in bytes {
+            inbox.space()[0] = *byte;
+            inbox.came(1);
+        }
+    }
+
+    #[test]
+    fn it_grows_to_its_bound_and_moves_what_is_left_to_the_front() {
+        let mut inbox = Inbox::new(3000);
+        put(&mut inbox, &[1; 2048]);
+        inbox.used(2000);
+        put(&mut inbox, &[2; 2000]);
+        assert_eq!(inbox.bytes.len(), 2048, "what was used made room before it grew");
+        assert_eq!(inbox.unread(), [&[1; 48][..], &[2; 2000]].concat());
+        put(&mut inbox, &[3; 952]);
+        assert!(inbox.is_full() && inbox.space().is_empty());
+        inbox.used(1);
+        assert_eq!(inbox.space().len(), 1);
+    }
+}
--- /dev/null
+++ b/crates/mixer/src/transport/mod.rs
@@ -0,0 +1,14 @@
+//! Byte streams over TCP: accept and dial, one buffer a connection for what comes, one bounded queue for what
+//! goes. Nothing here knows what the bytes mean.
+
+mod bell;
+mod inbox;
+mod net;
+mod outbox;
+mod pump;
+
+pub use bell::Bell;
+pub use inbox::Inbox;
+pub use net::{dial, is_short, listen, Stream};
+pub use outbox::Outbox;
+pub use pump::{linger, pump, Line, Stop};
--- /dev/null
+++ b/crates/mixer/src/transport/pump.rs
@@ -0,0 +1,125 @@
+//! Both directions of one connection, as one task, until either ends.
+
+use super::{Bell, Inbox, Outbox, Stream};
+use async_io::Timer;
+use futures_lite::{future, AsyncReadExt};
+use std::cell::Cell;
+use std::io;
+use std::ops::ControlFlow;
+use std::time::Duration;
+
+/// The near end of a connection, by which others write to it and close it.
+pub struct Line {
+    pub outbox: Outbox,
+    /// Rung to have what was read looked at again.
+    pub look: Bell,
+    closing: Cell<bool>,
+    cut: Cell<bool>,
+}
+
+/// Why a connection is over.
+pub enum Stop<H> {
+    /// The other side ended it in order.
+    Ended,
+    /// It broke.
+    Broke,
+    /// We closed it.
+    Closed,
+    /// What came made the reader halt.
+    Halted(H),
+}
+
+impl Line {
+    pub fn new(most_waiting: usize) -> Self {
+        let (closing, cut) = (Cell::new(false), Cell::new(false));
+        Self { outbox: Outbox::new(most_waiting), look: Bell::default(), closing, cut }
+    }
+
+    /// Closes once what waits has been written.
+    pub fn close(&self) {
+        self.closing.set(true);
+        self.outbox.bell.ring();
+    }
+
+    pub fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
+    /// Closes at once.
+    pub fn cut(&self) {
+        self.cut.set(true);
+        self.close();
+    }
+}
+
+/// Runs a connection. `read` is handed what has come, and uses up what it can; `gone` is told of each frame
+/// whose last byte was written.
+pub async fn pump<H>(
+    stream: &Stream,
+    line: &Line,
+    mut inbox: Inbox,
+    mut read: impl FnMut(&mut Inbox) -> ControlFlow<H>,
+    mut gone: impl FnMut(u64),
+) -> Stop<H> {
+    let reader = async {
+        loop {
+            if let ControlFlow::Break(halt) = read(&mut inbox) {
+                return Stop::Halted(halt);
+            }
+            match next_bytes(stream, line, &mut inbox).await {
+                Ok(Some(0)) => return Stop::Ended,
+                Ok(_) => {}
+                Err(_) => return Stop::Broke,
+            }
+        }
+    };
+    let writer = async {
+        loop {
+            if line.cut.get() {
+                return Stop::Closed;
+            }
+            let cut = async {
+                while !line.cut.get() {
+                    line.outbox.bell.wait().await;
+                }
+                Ok(())
+            };
+            if future::or(line.outbox.drain(stream, &mut gone), cut).await.is_err() {
+                return Stop::Broke;
+            }
+            if line.closing.get() {
+                return Stop::Closed;
+            }
+            line.outbox.bell.wait().await;
+        }
+    };
+    future::or(reader, writer).await
+}
+
+/// Bytes read, or none where the line only asked for another look.
+async fn next_bytes(stream: &Stream, line: &Line, inbox: &mut Inbox) -> io::Result<Option<usize>> {
+    let look = async {
+        line.look.wait().await;
+        Ok(None)
+    };
+    if inbox.is_full() {
+        return look.await;
+    }
+    let mut socket = stream;
+    let count = future::or(look, async { socket.read(inbox.space()).await.map(Some) }).await?;
+    inbox.came(count.unwrap_or(0));
+    Ok(count)
+}
+
+/// Ends our direction and reads the other for a little, so that what was written is not lost to a reset.
+pub async fn linger(stream: &Stream, most: Duration) {
+    let _ = stream.get_ref().shutdown(std::net::Shutdown::Write);
+    let rest = async {
+        let (mut socket, mut waste) = (stream, [0; 1024]);
+        while socket.read(&mut waste).await.is_ok_and(|count| count > 0) {}
+    };
+    let late = async {
+        Timer::after(most).await;
+    };
+    future::or(rest, late).await;
+}
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -1,9 +1,9 @@
 //! One instance: the module, and the desk that turns its calls into actions of the wire.
 
-use crate::readings::Readings;
 use crate::wire::{Fields, Malformed, Reply};
 use fernglade::choice::Mixer;
 use fernglade::{Host, Landing, Listing, Moment, PartTaken, ScanId, ScanTaken, Searcher, Span, Ticket};
+use fernglade_fronts::{Numbers, Readings, Slots};
 use std::collections::HashMap;
 
 /// A line of a numbered list, as it was sent.
@@ -17,10 +17,7 @@
 }
 
 /// A scan that is open: its wire ids, and how many relays each part has had.
-#[derive(Default)]
-struct Slot {
-    turn: u32,
-    open: bool,
+struct Open {
     corr: u64,
     job: u32,
     parts: Vec<(u64, u16)>,
@@ -39,55 +36,35 @@
     number: u16,
     /// The wire lets a relay be called off; where not, it ends by its own time.
     may_call_off: bool,
-    slots: Vec<Slot>,
-    free: Vec<u32>,
+    open: Slots<Open>,
     scans: HashMap<u64, ScanId>,
     jobs: HashMap<u32, ScanId>,
     relays: HashMap<(u64, u16), Ticket>,
     tickets: HashMap<Ticket, (u64, u16)>,
-    searchers: HashMap<u32, Searcher>,
-    wire_ids: Vec<u32>,
+    searchers: Numbers<u32>,
 }
 
 impl Books {
     fn open(&mut self, corr: u64, job: u32) -> ScanId {
-        let slot = self.free.pop().unwrap_or(self.slots.len() as u32);
-        if slot as usize == self.slots.len() {
-            self.slots.push(Slot::default());
-        }
-        let held = &mut self.slots[slot as usize];
-        let turn = held.turn.wrapping_add(1);
-        *held = Slot { turn, open: true, corr, job, parts: Vec::new() };
-        let id = ScanId { slot, turn };
+        let id = self.open.open(Open { corr, job, parts: Vec::new() });
         self.scans.insert(corr, id);
         self.jobs.insert(job, id);
         id
     }
 
     fn close(&mut self, id: ScanId) {
-        let held = &mut self.slots[id.slot as usize];
-        if held.open && held.turn == id.turn {
-            held.open = false;
+        if let Some(held) = self.open.close(id) {
             self.scans.remove(&held.corr);
             self.jobs.remove(&held.job);
-            self.free.push(id.slot);
         }
     }
 
-    fn corr(&self, id: ScanId) -> [u8; 8] {
-        self.slots[id.slot as usize].corr.to_be_bytes()
+    fn corr(&self, id: ScanId) -> Option<[u8; 8]> {
+        self.open.get(id).map(|held| held.corr.to_be_bytes())
     }
 
     fn wire_id(&self, searcher: Searcher) -> [u8; 4] {
-        self.wire_ids[searcher.0 as usize].to_be_bytes()
-    }
-
-    fn searcher(&mut self, wire_id: u32) -> Searcher {
-        let Books { searchers, wire_ids, .. } = self;
-        *searchers.entry(wire_id).or_insert_with(|| {
-            wire_ids.push(wire_id);
-            Searcher(wire_ids.len() as u32 - 1)
-        })
+        self.searchers.name(searcher).to_be_bytes()
     }
 }
 
@@ -107,7 +84,8 @@
     }
 
     fn relay(&mut self, ticket: Ticket, scan: ScanId, part: usize, to: Searcher, patience: Span) {
-        let (corr, sent) = &mut self.books.slots[scan.slot as usize].parts[part];
+        let Some(held) = self.books.open.get_mut(scan) else { return };
+        let (corr, sent) = &mut held.parts[part];
         let relay = (*corr, *sent);
         *sent += 1;
         self.books.relays.insert(relay, ticket);
@@ -124,19 +102,22 @@
     }
 
     fn answer(&mut self, scan: ScanId, whole: bool, last: bool) {
-        self.act(28, &[&self.books.corr(scan), &[u8::from(whole)]]);
+        let Some(corr) = self.books.corr(scan) else { return };
+        self.act(28, &[&corr, &[u8::from(whole)]]);
         if last {
             self.books.close(scan);
         }
     }
 
     fn bounce(&mut self, scan: ScanId, pause: Span) {
-        self.act(17, &[&self.books.corr(scan), &short(pause)]);
+        let Some(corr) = self.books.corr(scan) else { return };
+        self.act(17, &[&corr, &short(pause)]);
         self.books.close(scan);
     }
 
     fn write_off(&mut self, scan: ScanId) {
-        self.act(18, &[&self.books.corr(scan)]);
+        let Some(corr) = self.books.corr(scan) else { return };
+        self.act(18, &[&corr]);
         self.books.close(scan);
     }
 
@@ -232,7 +213,7 @@
         }
         let part = PartTaken { shard: shard as u32, weight: f64::from(weight) };
         self.arriving.iter_mut().for_each(|a| a.parts.push(part));
-        self.books.slots[id.slot as usize].parts.push((corr, 0));
+        self.books.open.get_mut(id).into_iter().for_each(|held| held.parts.push((corr, 0)));
         Ok(())
     }
 
@@ -243,7 +224,7 @@
         let entries = entries.map_or(&[][..], Vec::as_slice);
         let dear_outside = self.dear_outside;
         let listing = |entry: &Entry| Listing {
-            searcher: self.books.searcher(entry.wire_id),
+            searcher: self.books.searchers.number(&entry.wire_id),
             cell: entry.cell.into(),
             ready: entry.status == 0,
             started: (entry.started != 0).then(|| Moment::at_micros(entry.started)),
@@ -293,7 +274,7 @@
     pub fn ping(&mut self, fields: &[u8], now: Moment, reply: &mut Reply) -> Result<(), Malformed> {
         let mut fields = Fields::new(fields, "PingResult");
         let (there, wire_id) = (fields.u8()? == 0, fields.u32()?);
-        if let Some(searcher) = self.books.searchers.get(&wire_id).copied() {
+        if let Some(searcher) = self.books.searchers.known(&wire_id) {
             self.with(now, reply, |mixer, host| mixer.checked(host, searcher, there));
         }
         Ok(())
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -2,7 +2,6 @@
 
 mod instance;
 mod process;
-mod readings;
 mod wire;
 
 use std::io::{self, BufReader, BufWriter};
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,5 +1,6 @@
 //! The frames of the bench's wire: big-endian, no padding, records with their lengths.
 
+use fernglade_fronts::Misread;
 use std::fmt;
 use std::io::{self, Read};
 
@@ -19,6 +20,12 @@
     }
 }
 
+impl From<Misread> for Malformed {
+    fn from(Misread(text): Misread) -> Self {
+        Malformed(text)
+    }
+}
+
 /// Reads fields one after another from a record or an entry.
 pub struct Fields<'a> {
     rest: &'a [u8],
