The reducer's stories, and what they found

- A newcomer was itself sent off where all berths were taken by busy clients; it stays, and the door shuts behind it.
- Parts of a call that was taken back went anew in a call each; they share one again where the readings allow it.
- A connection that is to be closed and takes no bytes is cut after two seconds.

--- a/crates/mixer/src/routing/clients.rs
+++ b/crates/mixer/src/routing/clients.rs
@@ -54,14 +54,15 @@
         .collect()
     }
 
-    /// Where all places are taken, the one that has been idle longest leaves.
-    pub fn send_off_one(&mut self) -> Option<ClientId> {
+    /// Where all places are taken, the one that has been idle longest leaves for one that has just come.
+    pub fn send_off_for(&mut self, newcomer: ClientId) -> Option<ClientId> {
         let leaving = self.here.values().filter(|doing| **doing == Doing::Leaving).count();
         if self.here.len() - leaving < self.most {
             return None;
         }
         let since = |doing: &Doing| if let Doing::Idle(since) = doing { Some(*since) } else { None };
-        let idle = self.here.iter().filter_map(|(client, doing)| Some((since(doing)?, *client)));
+        let others = self.here.iter().filter(|(client, _)| **client != newcomer);
+        let idle = others.filter_map(|(client, doing)| Some((since(doing)?, *client)));
         let (_, client) = idle.min()?;
         self.set(client, Doing::Leaving);
         Some(client)
--- a/crates/mixer/src/routing/desk.rs
+++ b/crates/mixer/src/routing/desk.rs
@@ -168,8 +168,9 @@
         dropped.into_iter().for_each(|(link, call)| self.withdrawn(link, call));
     }
 
-    /// Puts the relays of this event on links, those to one searcher in shared calls.
-    pub fn place_all(&mut self) {
+    /// Puts the relays of this event on links, those to one searcher in shared calls; false where there are none.
+    pub fn place_all(&mut self) -> bool {
+        let any = !self.unplaced.is_empty();
         let mut by_searcher: BTreeMap<Searcher, Vec<Ticket>> = BTreeMap::new();
         for ticket in std::mem::take(&mut self.unplaced) {
             if let Some(relay) = self.relays.get(&ticket) {
@@ -179,6 +180,7 @@
         for (to, tickets) in by_searcher {
             tickets.chunks(self.pool.per_call.max(1)).for_each(|call| self.place(to, call));
         }
+        any
     }
 
     fn place(&mut self, to: Searcher, tickets: &[Ticket]) {
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -78,15 +78,19 @@
         self.settle()
     }
 
+    #[cfg(test)]
+    pub fn desk(&self) -> &Desk {
+        &self.desk
+    }
+
     /// Lets what has landed be heard, until nothing is left to say, and gives what is to be done.
     fn settle(&mut self) -> Vec<Effect> {
         loop {
-            self.desk.place_all();
             if let Some((ticket, how, took)) = self.desk.landed.pop_front() {
                 self.mixer.landed(&mut self.desk, ticket, how, took);
             } else if let Some((searcher, there)) = self.desk.checked.pop_front() {
                 self.mixer.checked(&mut self.desk, searcher, there);
-            } else {
+            } else if !self.desk.place_all() {
                 break;
             }
         }
@@ -265,7 +269,7 @@
     match event {
         Event::ClientCame(client) => {
             state.desk.clients.came(client, now);
-            let leaves = state.desk.clients.send_off_one();
+            let leaves = state.desk.clients.send_off_for(client);
             state.desk.effects.extend(leaves.map(Effect::Dismiss));
         }
         Event::Stirred(client) => {
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -1,1 +1,492 @@
+//! Events in, effects out: one story for each way a relay, a link, a client or the list can go.
 
+use super::*;
+use crate::protocol::frames::{Errand, PartEnd};
+use crate::protocol::lists::{News, Row};
+use crate::protocol::scans::{Ask, AskedPart, Blame};
+use fernglade::{Landing, Moment, Span};
+use fernglade_fronts::Readings;
+use test_case::test_case;
+
+const SETTINGS: &str =
+    "services.count=2\nservices.0.name=look\nservices.0.aim=2000000\nservices.0.give_up=4000000\n\
+services.0.repeat=pure\nservices.1.name=fix\nservices.1.aim=2000000\nservices.1.give_up=4000000\n\
+services.1.repeat=token\nservices.1.window=2500000\ncustomers.count=1\ncustomers.0.name=acme\n\
+customers.0.quota_per_s=1000\nfamily_info.cells=1\nfamily_info.width=1\nfamily_info.slabs=8\n\
+limits.attempts_cap=3\nlimits.cancel=true\nlimits.may_probe=true\nlimits.dial_timeout=250000\n\
+limits.max_open=40\nlimits.multiplex=32\ntick=5000\nfleet_size=2\n";
+
+struct Play {
+    state: State,
+    now: Moment,
+    alarm: Option<Moment>,
+    effects: Vec<Effect>,
+    clients: u64,
+}
+
+/// A call that was handed over to be written.
+#[derive(Clone, Debug)]
+struct Handed {
+    link: LinkId,
+    call: CallId,
+    errands: Vec<Errand>,
+}
+
+fn row(number: u16, ready: bool) -> Row {
+    let address = ([127, 0, 0, 1], 9000 + number).into();
+    Row { name: format!("s{number}"), address, zone: "a".into(), cell: 0, ready, started: None }
+}
+
+fn news(version: u64, whole: bool, rows: Vec<Row>) -> News {
+    News { version, whole, rows }
+}
+
+/// So many searchers that hold every shard; the last reading of a name stands.
+fn play_with(searchers: u16, more: &str, berths: Berths) -> Play {
+    let readings = Readings::parse(format!("{SETTINGS}{more}").as_bytes()).unwrap();
+    let state = State::new(&readings, 7, berths).unwrap();
+    let now = Moment::at_micros(1_764_000_000_000_000);
+    let mut play = Play { state, now, alarm: None, effects: Vec::new(), clients: 0 };
+    let known = news(5, true, (0..searchers).map(|number| row(number, true)).collect());
+    let effects = play.state.begin(&known, now);
+    play.take(effects);
+    play
+}
+
+fn play(searchers: u16) -> Play {
+    play_with(searchers, "", Berths { clients: 10, links: 10 })
+}
+
+fn ask(name: &str, traffic_type: &str, shards: &[u32]) -> Ask {
+    let weight = 1.0 / shards.len() as f64;
+    Ask {
+        name: name.into(),
+        traffic_type: traffic_type.into(),
+        customer: "acme".into(),
+        left: Span::of_millis(4000),
+        repeat: false,
+        label: Some("k1".into()),
+        text: "c41e".into(),
+        parts: shards.iter().map(|&shard| AskedPart { shard, weight, work: None }).collect(),
+    }
+}
+
+impl Play {
+    fn take(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Alarm(at) => self.alarm = Some(at),
+                other => self.effects.push(other),
+            }
+        }
+    }
+
+    fn feed(&mut self, event: Event) {
+        let effects = reduce(&mut self.state, event, self.now);
+        self.take(effects);
+    }
+
+    fn pass(&mut self, millis: u64) {
+        let until = self.now + Span::of_millis(millis);
+        while let Some(at) = self.alarm.take_if(|at| *at <= until) {
+            self.now = at.max(self.now);
+            self.feed(Event::TimeCame);
+        }
+        self.now = until;
+    }
+
+    fn come(&mut self) -> ClientId {
+        self.clients += 1;
+        let client = ClientId(self.clients);
+        self.feed(Event::ClientCame(client));
+        client
+    }
+
+    fn ask(&mut self, ask: Ask) -> ClientId {
+        let client = self.come();
+        self.feed(Event::Stirred(client));
+        self.feed(Event::Asked(client, ask));
+        client
+    }
+
+    /// Takes out the effects that fit.
+    fn took<T>(&mut self, fits: impl Fn(&Effect) -> Option<T>) -> Vec<T> {
+        let found = self.effects.iter().filter_map(&fits).collect();
+        self.effects.retain(|effect| fits(effect).is_none());
+        found
+    }
+
+    fn dials(&mut self) -> Vec<(LinkId, u16)> {
+        self.took(|effect| match effect {
+            Effect::Dial { link, to, .. } => Some((*link, to.port() - 9000)),
+            _ => None,
+        })
+    }
+
+    fn handed(&mut self) -> Vec<Handed> {
+        self.took(|effect| match effect {
+            Effect::Call { link, call, errands } => {
+                Some(Handed { link: *link, call: *call, errands: errands.clone() })
+            }
+            _ => None,
+        })
+    }
+
+    /// Every link that was dialled comes up, and its calls are handed over.
+    fn connect(&mut self) -> Vec<Handed> {
+        self.dials().into_iter().for_each(|(link, _)| self.feed(Event::LinkUp(link)));
+        self.handed()
+    }
+
+    /// And their last bytes are written.
+    fn send(&mut self) -> Vec<Handed> {
+        let handed = self.connect();
+        handed.iter().for_each(|h| self.feed(Event::CallOut(h.link, h.call)));
+        handed
+    }
+
+    fn back(&mut self, link: LinkId, id: &str, end: PartEnd, value: &str) {
+        self.feed(Event::PartBack { link, id: id.into(), end, value: value.into() });
+    }
+
+    fn replies(&mut self) -> Vec<(ClientId, Reply, bool)> {
+        self.took(|effect| match effect {
+            Effect::Reply { client, reply, last } => Some((*client, reply.clone(), *last)),
+            _ => None,
+        })
+    }
+
+    fn did(&mut self, effect: &Effect) -> bool {
+        !self.took(|other| (other == effect).then_some(())).is_empty()
+    }
+}
+
+#[test]
+fn a_scan_is_answered_from_the_values_of_its_parts() {
+    let mut play = play(2);
+    let client = play.ask(ask("a", "fix", &[3, 1]));
+    let handed = play.send();
+    let mut ids = Vec::new();
+    for Handed { link, errands, .. } in &handed {
+        let errand = &errands[0];
+        assert_eq!((errand.waits_ms, errand.label.as_deref(), &*errand.text), (1985, Some("k1"), "c41e"));
+        ids.push(errand.id.clone());
+        play.back(*link, &errand.id, PartEnd::Honoured, &format!("v{}", errand.shard));
+    }
+    assert!(ids.contains(&"a.3".to_string()) && ids.contains(&"a.1".to_string()));
+    let values = vec![(3, "v3".to_string()), (1, "v1".to_string())];
+    assert_eq!(play.replies(), [(client, Reply::Answer { whole: true, values }, false)]);
+}
+
+#[test_case(Ending::Refused, false, Landing::Unreached)]
+#[test_case(Ending::NeverUp, false, Landing::Unreached)]
+#[test_case(Ending::NoWay, false, Landing::Unreached)]
+#[test_case(Ending::Short, false, Landing::Unsent; "a shortage of ours says nothing of the searcher")]
+#[test_case(Ending::Ended, true, Landing::Dropped)]
+#[test_case(Ending::Ended, false, Landing::Unreached; "broken before its last byte, it never ran")]
+#[test_case(Ending::ClosedIdle, true, Landing::Dropped)]
+#[test_case(Ending::Broke, true, Landing::Dropped)]
+#[test_case(Ending::Broke, false, Landing::Unreached)]
+#[test_case(Ending::Garbled, true, Landing::Dropped)]
+#[test_case(Ending::Objected, true, Landing::Dropped)]
+#[test_case(Ending::Stuck, true, Landing::Silent)]
+#[test_case(Ending::Stuck, false, Landing::Unsent)]
+#[test_case(Ending::HungUp, true, Landing::CalledOff)]
+#[test_case(Ending::HungUp, false, Landing::Unsent)]
+fn each_ending_means_one_landing(ending: Ending, out: bool, landing: Landing) {
+    assert_eq!(ending.landing(out), landing);
+}
+
+#[test_case(Ending::Refused; "refused")]
+#[test_case(Ending::NeverUp; "never up")]
+fn a_part_that_reached_nobody_goes_to_another_and_the_searcher_is_checked(ending: Ending) {
+    let mut play = play(2);
+    play.ask(ask("a", "look", &[0]));
+    let (link, first) = play.dials()[0];
+    play.feed(Event::LinkEnded(link, ending));
+    let (second, other) = play.dials()[0];
+    assert_ne!(first, other);
+    play.feed(Event::LinkUp(second));
+    let handed = play.handed();
+    play.feed(Event::CallOut(second, handed[0].call));
+    play.back(second, "a.0", PartEnd::Honoured, "v");
+    assert!(matches!(play.replies()[0].1, Reply::Answer { whole: true, .. }));
+    play.pass(5_100);
+    let (check, to) = play.dials()[0];
+    assert_eq!(to, first);
+    play.feed(Event::LinkUp(check));
+    assert!(play.did(&Effect::Check(check)));
+    play.feed(Event::CheckBack(check, true));
+    play.pass(10_000);
+    assert!(play.dials().is_empty() && !play.did(&Effect::Check(check)), "it passed");
+}
+
+#[test]
+fn parts_on_a_link_that_breaks_are_told_apart_by_their_last_byte() {
+    let mut play = play(2);
+    let client = play.ask(ask("a", "fix", &[0]));
+    let handed = play.connect();
+    play.feed(Event::LinkEnded(handed[0].link, Ending::Broke));
+    let again = play.send();
+    assert_eq!(again[0].errands[0].id, "a.0", "it never ran, and goes to the other");
+    play.feed(Event::LinkEnded(again[0].link, Ending::Broke));
+    assert_eq!(play.replies(), [(client, Reply::WriteOff, false)], "it may have run: no bounce");
+}
+
+#[test]
+fn late_and_unknown_answers_are_passed_over() {
+    let mut play = play(1);
+    let client = play.ask(ask("a", "look", &[0, 1]));
+    let link = play.send()[0].link;
+    play.back(link, "b.0", PartEnd::Honoured, "never asked");
+    play.back(link, "a.0", PartEnd::Honoured, "v0");
+    play.back(link, "a.0", PartEnd::Honoured, "twice");
+    assert!(play.replies().is_empty());
+    play.pass(2_000);
+    assert_eq!(play.replies().len(), 1, "ended by its one timer");
+    assert!(play.did(&Effect::GiveUp { link, id: "a.1".into() }));
+    play.back(link, "a.1", PartEnd::Honoured, "late");
+    play.feed(Event::CheckBack(link, true));
+    assert!(play.replies().is_empty() && play.dials().is_empty());
+    play.ask(ask("c", "look", &[2]));
+    assert_eq!(play.handed()[0].link, link, "the link goes on");
+    play.feed(Event::ClientGone(client));
+}
+
+#[test]
+fn a_part_given_up_before_it_was_written_is_never_written() {
+    let mut play = play(1);
+    let client = play.ask(ask("a", "look", &[0]));
+    let (link, _) = play.dials()[0];
+    play.feed(Event::ClientGone(client));
+    play.feed(Event::LinkUp(link));
+    assert!(play.handed().is_empty(), "given up while the link was dialled");
+    let client = play.ask(ask("b", "look", &[0]));
+    let call = play.handed()[0].call;
+    play.feed(Event::ClientGone(client));
+    assert!(play.did(&Effect::Withdraw(link, call)));
+    play.feed(Event::Withdrawn(link, call));
+    assert!(play.effects.iter().all(|effect| matches!(effect, Effect::Watch(_))), "{:?}", play.effects);
+}
+
+#[test]
+fn a_part_given_up_while_it_is_written_is_told_after_its_last_byte() {
+    let mut play = play(1);
+    let client = play.ask(ask("a", "look", &[0]));
+    let Handed { link, call, .. } = play.connect()[0].clone();
+    play.feed(Event::ClientGone(client));
+    let give_up = Effect::GiveUp { link, id: "a.0".into() };
+    assert!(play.did(&Effect::Withdraw(link, call)) && !play.did(&give_up));
+    play.feed(Event::CallOut(link, call));
+    assert!(play.did(&give_up));
+}
+
+#[test]
+fn a_call_taken_back_goes_anew_with_the_parts_still_wanted() {
+    let mut play = play_with(1, "family_info.per_call=2\n", Berths { clients: 10, links: 10 });
+    let client = play.ask(ask("a", "look", &[0, 1]));
+    let handed = play.connect();
+    assert_eq!((handed.len(), handed[0].errands.len()), (1, 2), "both share a call");
+    play.feed(Event::Told(news(6, false, vec![row(0, false), row(1, true)])));
+    let Handed { link, call, .. } = handed[0].clone();
+    assert!(play.did(&Effect::Withdraw(link, call)), "a drain acts at once");
+    play.feed(Event::Withdrawn(link, call));
+    let again = play.send();
+    assert_eq!(again[0].errands.len(), 2);
+    assert_ne!(again[0].link, link);
+    play.back(again[0].link, "a.0", PartEnd::Honoured, "v");
+    play.back(again[0].link, "a.1", PartEnd::Honoured, "v");
+    assert!(matches!(&play.replies()[0], (c, Reply::Answer { whole: true, .. }, _) if *c == client));
+}
+
+#[test]
+fn a_searcher_that_drains_finishes_what_it_has_and_gets_nothing_new() {
+    let mut play = play(2);
+    play.ask(ask("a", "look", &[0, 1]));
+    let handed = play.send();
+    play.feed(Event::Told(news(6, false, vec![row(0, false)])));
+    play.ask(ask("b", "look", &[0, 1, 2]));
+    let mut new = play.handed();
+    let drained = handed.iter().find(|h| !new.iter().any(|n| n.link == h.link)).expect("one gets nothing");
+    assert_eq!(new.len(), 3);
+    new.extend(handed.clone());
+    for Handed { link, errands, .. } in &new {
+        play.back(*link, &errands[0].id, PartEnd::Honoured, "v");
+    }
+    assert_eq!(play.replies().len(), 2);
+    play.feed(Event::Told(news(7, false, vec![])));
+    assert!(play.did(&Effect::HangUp(drained.link)), "idle, its link is let go");
+}
+
+#[test]
+fn a_link_carries_so_many_calls_and_no_more_are_opened_than_there_are_berths_for() {
+    let mut play = play_with(1, "limits.multiplex=2\n", Berths { clients: 10, links: 2 });
+    for name in ["a", "b", "c"] {
+        play.ask(ask(name, "look", &[0]));
+    }
+    assert_eq!(play.dials().len(), 2);
+    for name in ["d", "e", "f"] {
+        play.ask(ask(name, "look", &[0]));
+    }
+    assert!(play.dials().is_empty());
+}
+
+#[test]
+fn a_new_address_under_the_same_name_is_dialled_and_the_old_link_is_let_go() {
+    let mut play = play(1);
+    play.ask(ask("a", "look", &[0]));
+    let link = play.send()[0].link;
+    play.back(link, "a.0", PartEnd::Honoured, "v");
+    let moved = Row { address: ([127, 0, 0, 1], 9500).into(), ..row(0, true) };
+    play.feed(Event::Told(news(6, false, vec![moved])));
+    assert!(play.did(&Effect::HangUp(link)));
+    play.ask(ask("b", "look", &[0]));
+    assert_eq!(play.dials()[0].1, 500);
+}
+
+#[test]
+fn the_watch_goes_on_from_what_was_told_and_begins_anew_where_that_goes_back() {
+    let mut play = play(1);
+    play.pass(0);
+    assert!(play.did(&Effect::Watch(None)), "what was known may be old");
+    play.feed(Event::Told(news(6, true, vec![row(0, true)])));
+    assert!(play.did(&Effect::Watch(Some(6))));
+    play.feed(Event::Told(news(4, false, vec![])));
+    assert!(play.did(&Effect::Watch(None)));
+    play.feed(Event::Told(news(4, true, vec![row(0, true)])));
+    assert!(play.did(&Effect::Watch(Some(4))));
+    play.feed(Event::WatchBroke);
+    play.pass(400);
+    assert!(!play.did(&Effect::Watch(Some(4))), "not at once");
+    play.pass(600);
+    assert!(play.did(&Effect::Watch(Some(4))));
+}
+
+#[test_case(ask("a", "nothing", &[0]), Blame::Path; "unknown traffic type")]
+#[test_case(Ask { customer: "other".into(), ..ask("a", "look", &[0]) }, Blame::Request("an unknown X-Tenant-Id".into()); "unknown customer")]
+#[test_case(Ask { label: None, ..ask("a", "fix", &[0]) }, Blame::Request("no Idempotency-Key".into()); "no label")]
+#[test_case(ask("a", "look", &[8]), Blame::Request("no range 8".into()); "unknown shard")]
+#[test_case(ask("a", "look", &[1, 1]), Blame::Request("a range stands twice".into()); "a part twice")]
+#[test_case(ask("a", "look", &[]), Blame::Request("the portions are not a whole".into()); "no parts")]
+#[test_case(ask("open", "look", &[0]), Blame::Conflict; "a name that is open")]
+fn a_senseless_scan_is_blamed_at_once(asked: Ask, blame: Blame) {
+    let mut play = play(1);
+    play.ask(ask("open", "look", &[0]));
+    let client = play.ask(asked);
+    assert_eq!(play.replies(), [(client, Reply::Refusal(blame), false)]);
+}
+
+#[test]
+fn rounded_portions_still_make_a_whole() {
+    let mut play = play(1);
+    let mut thirds = ask("a", "look", &[0, 1, 2]);
+    thirds.parts.iter_mut().for_each(|part| part.weight = 0.333);
+    play.ask(thirds);
+    for Handed { link, errands, .. } in play.send() {
+        play.back(link, &errands[0].id, PartEnd::Honoured, "v");
+    }
+    assert!(matches!(play.replies()[0].1, Reply::Answer { whole: true, .. }));
+}
+
+#[test]
+fn a_value_that_no_answer_has_room_for_is_as_good_as_none() {
+    let mut play = play(1);
+    play.ask(ask("a", "look", &[0]));
+    let link = play.send()[0].link;
+    play.back(link, "a.0", PartEnd::Honoured, &"\"".repeat(12_000));
+    assert_eq!(play.replies()[0].1, Reply::Bounce(Span::ZERO));
+}
+
+#[test]
+fn over_the_scans_and_parts_that_may_be_open_a_scan_is_bounced() {
+    let mut play = play(3);
+    for name in ["a", "b", "c", "d"] {
+        play.ask(ask(name, "look", &[0, 1, 2, 3, 4, 5, 6]));
+    }
+    let held = play.state.desk().held;
+    assert!(held <= 40);
+    play.ask(ask("over", "look", &[0, 1, 2, 3, 4, 5, 6, 7]));
+    assert!(matches!(play.replies().last(), Some((_, Reply::Bounce(_), _))));
+    assert_eq!(play.state.desk().held, held);
+}
+
+#[test]
+fn where_berths_run_short_the_longest_idle_client_goes_and_busy_ones_stay() {
+    let mut play = play_with(1, "", Berths { clients: 2, links: 2 });
+    let first = play.come();
+    play.pass(10);
+    let busy = play.ask(ask("a", "look", &[0]));
+    assert!(play.did(&Effect::Dismiss(first)), "the last berth was taken");
+    assert!(play.did(&Effect::Door(false)), "until it has gone, nobody is let in");
+    play.feed(Event::ClientGone(first));
+    assert!(play.did(&Effect::Door(true)));
+    let third = play.ask(ask("b", "look", &[0]));
+    assert!(!play.did(&Effect::Dismiss(busy)) && !play.did(&Effect::Dismiss(third)));
+    assert!(play.did(&Effect::Door(false)));
+}
+
+#[test]
+fn a_request_that_stays_half_sent_is_dropped() {
+    let mut play = play(1);
+    let (half, whole) = (play.come(), play.come());
+    play.feed(Event::Stirred(half));
+    play.feed(Event::Stirred(whole));
+    play.pass(100);
+    play.feed(Event::HealthAsked(whole));
+    assert_eq!(play.replies(), [(whole, Reply::Health(true), false)]);
+    play.pass(6_000);
+    assert!(play.did(&Effect::Dismiss(half)) && !play.did(&Effect::Dismiss(whole)));
+}
+
+#[test]
+fn nothing_can_be_served_before_a_searcher_is_listed() {
+    let mut play = play(0);
+    let client = play.come();
+    play.feed(Event::Stirred(client));
+    play.feed(Event::HealthAsked(client));
+    assert_eq!(play.replies(), [(client, Reply::Health(false), false)]);
+}
+
+#[test]
+fn told_to_stop_it_serves_who_still_comes_and_leaves_when_all_is_answered() {
+    let mut play = play(1);
+    let idle = play.come();
+    let busy = play.ask(ask("a", "look", &[0]));
+    let link = play.send()[0].link;
+    play.feed(Event::StopAsked);
+    assert!(play.did(&Effect::Dismiss(idle)));
+    play.feed(Event::ClientGone(idle));
+    play.pass(300);
+    let late = play.ask(ask("b", "look", &[1]));
+    assert_eq!(play.handed().len(), 1);
+    play.pass(350);
+    assert!(play.did(&Effect::ShutDoor));
+    play.feed(Event::DoorShut);
+    let waiting = play.come();
+    play.pass(60);
+    assert!(play.did(&Effect::Dismiss(waiting)));
+    play.feed(Event::ClientGone(waiting));
+    for (id, client) in [("a.0", busy), ("b.1", late)] {
+        assert!(!play.did(&Effect::Leave), "a scan is open");
+        play.back(link, id, PartEnd::Honoured, "v");
+        assert!(matches!(play.replies()[..], [(to, Reply::Answer { .. }, true)] if to == client));
+        play.feed(Event::ClientGone(client));
+    }
+    assert!(play.did(&Effect::Leave));
+}
+
+#[test]
+fn a_mute_searcher_holds_nothing_up_and_nothing_grows_for_it() {
+    let mut play = play(2);
+    for round in 0..200 {
+        let client = play.ask(ask(&format!("r{round}"), "look", &[0]));
+        play.send();
+        play.pass(2_000);
+        assert_eq!(play.replies().len(), 1);
+        play.feed(Event::ClientGone(client));
+        play.effects.clear();
+    }
+    let desk = play.state.desk();
+    assert!(desk.relays.is_empty() && desk.names.is_empty() && desk.held == 0);
+    assert!(desk.pool.links.values().all(|link| link.calls.is_empty()) && desk.pool.links.len() <= 2);
+}
--- a/crates/mixer/src/transport/pump.rs
+++ b/crates/mixer/src/transport/pump.rs
@@ -8,6 +8,9 @@
 use std::ops::ControlFlow;
 use std::time::Duration;
 
+/// How long a line that is to be closed may take to write what waits.
+const FLUSH: Duration = Duration::from_secs(2);
+
 /// The near end of a connection, by which others write to it and close it.
 pub struct Line {
     pub outbox: Outbox,
@@ -78,13 +81,26 @@
             if line.cut.get() {
                 return Stop::Closed;
             }
-            let cut = async {
-                while !line.cut.get() {
+            // What waits has a while to go once the line is to be closed, and none once it is cut.
+            let enough = async {
+                while !line.closing.get() {
                     line.outbox.bell.wait().await;
                 }
+                if !line.cut.get() {
+                    let cut = async {
+                        while !line.cut.get() {
+                            line.outbox.bell.wait().await
+                        }
+                    };
+                    let late = async {
+                        Timer::after(FLUSH).await;
+                    };
+                    future::or(cut, late).await;
+                    line.cut.set(true);
+                }
                 Ok(())
             };
-            if future::or(line.outbox.drain(stream, &mut gone), cut).await.is_err() {
+            if future::or(line.outbox.drain(stream, &mut gone), enough).await.is_err() {
                 return Stop::Broke;
             }
             if line.closing.get() {
