Tests through the built mixer; idle links make room where links run short

Against stand-ins on loopback: requests in any pieces, one client's faults unnoticed by others, a client that leaves, searchers that talk nonsense or die, a stop, a kill and start, orders that can't be used. Where cancels are not allowed no part is told as given up.

--- a/crates/mixer/src/routing/desk.rs
+++ b/crates/mixer/src/routing/desk.rs
@@ -82,7 +82,8 @@
                 }
                 return;
             }
-            Stand::Out => self.effects.push(Effect::GiveUp { link: link_id, id }),
+            Stand::Out if self.may_call_off => self.effects.push(Effect::GiveUp { link: link_id, id }),
+            Stand::Out => {}
         }
         if call.parts.is_empty() {
             link.calls.remove(&call_id);
@@ -124,11 +125,11 @@
         let Some(link) = self.pool.links.get_mut(&link_id) else { return };
         let Some(call) = link.calls.get_mut(&call_id) else { return };
         call.stand = Stand::Out;
-        let given_up = std::mem::take(&mut call.given_up);
+        let given_up = std::mem::take(&mut call.given_up).into_iter().filter(|_| self.may_call_off);
         if call.parts.is_empty() {
             link.calls.remove(&call_id);
         }
-        self.effects.extend(given_up.into_iter().map(|id| Effect::GiveUp { link: link_id, id }));
+        self.effects.extend(given_up.map(|id| Effect::GiveUp { link: link_id, id }));
     }
 
     /// A call was taken back: its parts that are still wanted go out anew, unless their searcher has left.
@@ -207,6 +208,10 @@
     }
 
     fn dial(&mut self, to: Searcher, address: std::net::SocketAddr) -> Option<LinkId> {
+        if self.pool.is_full() {
+            let idle = self.pool.drop_idle(|_| true);
+            self.effects.extend(idle.into_iter().map(Effect::HangUp));
+        }
         let link = self.pool.open(to, address)?;
         self.effects.push(Effect::Dial { link, to: address, within: self.dial_within });
         Some(link)
--- a/crates/mixer/src/routing/pool.rs
+++ b/crates/mixer/src/routing/pool.rs
@@ -82,9 +82,13 @@
         self.links.iter().filter(move |(_, link)| here(link)).map(|(id, link)| (*id, link))
     }
 
+    pub fn is_full(&self) -> bool {
+        self.links.len() >= self.most
+    }
+
     /// A further link, where descriptors are left for one.
     pub fn open(&mut self, to: Searcher, address: SocketAddr) -> Option<LinkId> {
-        if self.links.len() >= self.most {
+        if self.is_full() {
             return None;
         }
         let id = LinkId(self.number());
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -331,6 +331,27 @@
     assert!(play.dials().is_empty());
 }
 
+#[test]
+fn where_links_run_short_idle_ones_make_room() {
+    let mut play = play_with(2, "", Berths { clients: 10, links: 1 });
+    play.ask(ask("a", "look", &[0]));
+    let first = play.send()[0].link;
+    play.back(first, "a.0", PartEnd::Erred, "");
+    assert!(play.did(&Effect::HangUp(first)));
+    assert_eq!(play.dials().len(), 1, "the other searcher is reached");
+}
+
+#[test]
+fn where_nothing_may_be_called_off_no_searcher_is_told_so() {
+    let mut play = play_with(1, "limits.cancel=false\n", Berths { clients: 10, links: 10 });
+    play.ask(ask("a", "look", &[0]));
+    play.send();
+    play.pass(3_000);
+    assert!(matches!(play.replies()[0].1, Reply::Bounce(_)));
+    assert!(!play.effects.iter().any(|effect| matches!(effect, Effect::GiveUp { .. })));
+    assert!(play.state.desk().relays.is_empty());
+}
+
 #[test]
 fn a_new_address_under_the_same_name_is_dialled_and_the_old_link_is_let_go() {
     let mut play = play(1);
--- /dev/null
+++ b/crates/mixer/tests/sockets.rs
@@ -0,0 +1,305 @@
+//! The built program on loopback, against stand-ins for clients, searchers and discovery. Judged by what
+//! comes, and in which order; the time-outs only keep a failure from hanging.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::thread;
+use std::time::Duration;
+use test_case::test_case;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What a searcher does with each frame: letter and rest in, bytes out; none ends the connection.
+type Habit = fn(u8, &str) -> Option<Vec<u8>>;
+
+fn frame(letter: u8, rest: &str) -> Vec<u8> {
+    [&(rest.len() as u32 + 1).to_be_bytes()[..], &[letter], rest.as_bytes()].concat()
+}
+
+fn good(letter: u8, rest: &str) -> Option<Vec<u8>> {
+    let id = rest.split(' ').next().unwrap_or_default();
+    Some(if letter == b'm' { frame(b'q', &format!("{id} good 1 -\nof {id}")) } else { Vec::new() })
+}
+
+fn slow(letter: u8, rest: &str) -> Option<Vec<u8>> {
+    thread::sleep(Duration::from_millis(300));
+    good(letter, rest)
+}
+
+fn mute(_: u8, _: &str) -> Option<Vec<u8>> {
+    Some(Vec::new())
+}
+
+fn garbled(_: u8, _: &str) -> Option<Vec<u8>> {
+    Some(frame(b'z', "?"))
+}
+
+fn dying(letter: u8, _: &str) -> Option<Vec<u8>> {
+    (letter != b'm').then(Vec::new)
+}
+
+/// A searcher on a port of its own; every frame it reads is also told.
+fn searcher(habit: Habit) -> (SocketAddr, Receiver<(u8, String)>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (address, (tell, told)) = (listener.local_addr().unwrap(), channel());
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let tell = tell.clone();
+            thread::spawn(move || attend(stream, habit, &tell));
+        }
+    });
+    (address, told)
+}
+
+fn attend(mut stream: TcpStream, habit: Habit, tell: &Sender<(u8, String)>) {
+    let mut length = [0; 4];
+    while stream.read_exact(&mut length).is_ok() {
+        let mut body = vec![0; u32::from_be_bytes(length) as usize];
+        stream.read_exact(&mut body).unwrap();
+        let rest = String::from_utf8(body.split_off(1)).unwrap();
+        let _ = tell.send((body[0], rest.clone()));
+        let Some(answer) = habit(body[0], &rest) else { return };
+        let _ = stream.write_all(&answer);
+    }
+}
+
+fn list(searchers: &[SocketAddr]) -> String {
+    let row = |(at, address): (usize, &SocketAddr)| {
+        let rest = r#""zone":"a","cell":0,"lifecycle":"SERVING","startedAtMs":0"#;
+        format!(r#"{{"instanceId":"s{at}","hostPort":"{address}",{rest}}}"#)
+    };
+    let rows: Vec<String> = searchers.iter().enumerate().map(row).collect();
+    format!(r#"{{"generation":1,"reset":true,"instances":[{}]}}"#, rows.join(","))
+}
+
+/// Discovery that gives the list once, in chunks, and then says nothing.
+fn agent(list: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let (half, rest) = list.split_at(list.len() / 2);
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let chunks = format!("{:x}\r\n{half}\r\n{:x}\r\n{rest}\r\n0\r\n\r\n", half.len(), rest.len());
+        let _ = stream.write_all(format!("{head}{chunks}").as_bytes());
+        thread::sleep(PATIENCE);
+    });
+    address
+}
+
+fn orders(listen: &str, discovery: SocketAddr, known: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"7","limits":{{"sockets":256}},
+        "known":{known},"settings":{{"tick":5000,"fleet_size":1,"areas":["a"],
+        "services":[{{"name":"look","aim":2000000,"give_up":4000000,"repeat":"pure"}}],
+        "customers":[{{"name":"acme","quota_per_s":1000}}],
+        "family_info":{{"cells":1,"width":1,"slabs":4,"per_call":1}},
+        "limits":{{"attempts_cap":3,"cancel":true,"may_probe":true,"dial_timeout":250000,"multiplex":32}}}}}}"#
+    )
+}
+
+fn orders_file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("fernglade-{}-{name}.json", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn command(path: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fernglade-mixer"));
+    command.env_clear().env("ROUTER_CONFIG", path).stdin(Stdio::null());
+    command
+}
+
+struct Mixer {
+    child: Child,
+    at: SocketAddr,
+    path: PathBuf,
+}
+
+impl Drop for Mixer {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn mixer(name: &str, discovery: SocketAddr, known: &str) -> Mixer {
+    let at = free_address();
+    start(at, orders_file(name, &orders(&at.to_string(), discovery, known)))
+}
+
+/// Starts a mixer and waits until it says that it can serve.
+fn start(at: SocketAddr, path: PathBuf) -> Mixer {
+    let mixer = Mixer { child: command(&path).stderr(Stdio::null()).spawn().unwrap(), at, path };
+    for _ in 0..400 {
+        if let Ok(mut client) = TcpStream::connect(at) {
+            client.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
+            if answer(&mut BufReader::new(client)).0 == 200 {
+                return mixer;
+            }
+        }
+        thread::sleep(Duration::from_millis(25));
+    }
+    panic!("the mixer never served");
+}
+
+fn client(mixer: &Mixer) -> BufReader<TcpStream> {
+    let stream = TcpStream::connect(mixer.at).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    BufReader::new(stream)
+}
+
+fn say(to: &mut BufReader<TcpStream>, text: impl AsRef<[u8]>) {
+    to.get_mut().write_all(text.as_ref()).unwrap();
+}
+
+fn scan(name: &str, shards: &[u32]) -> String {
+    let portion = 1.0 / shards.len() as f64;
+    let range = |shard| format!(r#"{{"range":{shard},"portion":{portion}}}"#);
+    let ranges: Vec<String> = shards.iter().map(range).collect();
+    let body = format!(r#"{{"ranges":[{}],"predicate":"c\u00e9"}}"#, ranges.join(","));
+    let headers = format!("X-Request-ID: {name}\r\nX-Tenant-Id: acme\r\nX-Timeout: 4.0\r\n");
+    format!("POST /look?key=1 HTTP/1.1\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Status, head and body.
+fn answer(from: &mut BufReader<TcpStream>) -> (u16, String, String) {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        assert!(from.read_line(&mut head).unwrap() > 0, "no answer after {head:?}");
+    }
+    let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: ")).unwrap();
+    let mut body = vec![0; length.parse().unwrap()];
+    from.read_exact(&mut body).unwrap();
+    (head[9..12].parse().unwrap(), head, String::from_utf8(body).unwrap())
+}
+
+#[test]
+fn scans_in_any_pieces_and_close_on_each_other_are_answered_in_turn() {
+    let (address, told) = searcher(good);
+    let mixer = mixer("pieces", agent(list(&[address])), &list(&[]));
+    let mut client = client(&mixer);
+    scan("a", &[0, 1]).bytes().for_each(|byte| say(&mut client, [byte]));
+    let (status, _, body) = answer(&mut client);
+    let text = r#"{"total":true,"answers":[{"range":0,"blob":"of a.0"},{"range":1,"blob":"of a.1"}]}"#;
+    assert_eq!((status, body.as_str()), (200, text));
+    let call = told.recv_timeout(PATIENCE).unwrap();
+    assert!(call.0 == b'm' && call.1.ends_with(" 3\ncé"), "{call:?}");
+    say(&mut client, scan("b", &[2]) + &scan("c", &[3]));
+    assert!(answer(&mut client).2.contains("of b.2"));
+    assert!(answer(&mut client).2.contains("of c.3"));
+}
+
+#[test]
+fn what_one_client_does_wrong_no_other_notices() {
+    let (address, _told) = searcher(good);
+    let mixer = mixer("wrong", agent(list(&[address])), &list(&[address]));
+    let (mut other, mut wrong, mut long) = (client(&mixer), client(&mixer), client(&mixer));
+    let asked = scan("a", &[0]);
+    let (begun, rest) = asked.split_at(70);
+    say(&mut other, begun);
+    let told = [
+        (scan("x", &[9]), 400),
+        (scan("x", &[0]).replace("/look", "/none"), 404),
+        ("PUT /look HTTP/1.1\r\n\r\n".into(), 405),
+        (format!("POST /look HTTP/1.1\r\nContent-Length: {}\r\n\r\n", 1 << 30), 413),
+    ];
+    for (text, status) in told {
+        say(&mut wrong, text);
+        assert_eq!(answer(&mut wrong).0, status);
+    }
+    assert_eq!(wrong.read(&mut [0]).unwrap(), 0, "where framing is lost the connection ends");
+    say(&mut long, format!("GET /{} HTTP/1.1\r\n", "a".repeat(9000)));
+    assert_eq!(answer(&mut long).0, 431);
+    say(&mut other, rest);
+    assert_eq!(answer(&mut other).0, 200);
+}
+
+#[test]
+fn a_client_that_leaves_has_its_parts_given_up() {
+    let (address, told) = searcher(mute);
+    let mixer = mixer("leaves", agent(list(&[address])), &list(&[address]));
+    let mut client = client(&mixer);
+    say(&mut client, scan("a", &[0]));
+    assert_eq!(told.recv_timeout(PATIENCE).unwrap().0, b'm');
+    drop(client);
+    assert_eq!(told.recv_timeout(PATIENCE).unwrap(), (b'n', "a.0".into()));
+}
+
+#[test_case(garbled; "that talks nonsense")]
+#[test_case(dying; "that ends the connection")]
+fn a_part_goes_on_from_a_searcher(habit: Habit) {
+    let ((bad, _), (sound, _), gone) = (searcher(habit), searcher(good), free_address());
+    let known = list(&[bad, sound, gone]);
+    let mixer = mixer(&format!("on-{}", bad.port()), agent(known.clone()), &known);
+    let mut client = client(&mixer);
+    for name in ["a", "b", "c", "d"] {
+        say(&mut client, scan(name, &[0]));
+        assert_eq!(answer(&mut client).0, 200);
+    }
+}
+
+#[test]
+fn told_to_stop_it_answers_what_it_took_and_ends_by_itself() {
+    let (address, told) = searcher(slow);
+    // Nobody is at the address of discovery: the list that it was started with stands.
+    let mut mixer = mixer("stop", free_address(), &list(&[address]));
+    let (mut open, mut idle) = (client(&mixer), client(&mixer));
+    say(&mut idle, "GET /healthz HTTP/1.1\r\n\r\n");
+    answer(&mut idle);
+    say(&mut open, scan("a", &[0]));
+    told.recv_timeout(PATIENCE).unwrap();
+    let id = mixer.child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    assert_eq!(idle.read(&mut [0]).unwrap(), 0, "an idle connection ends");
+    let mut late = client(&mixer);
+    say(&mut late, scan("b", &[1]));
+    for from in [&mut open, &mut late] {
+        let (status, head, _) = answer(from);
+        assert!(status == 200 && head.contains("Connection: close"), "{head}");
+    }
+    drop((open, late));
+    assert!(mixer.child.wait().unwrap().success());
+}
+
+#[test]
+fn killed_it_starts_from_nothing_at_the_same_address() {
+    let (address, _told) = searcher(good);
+    let mut first = mixer("again", free_address(), &list(&[address]));
+    let mut before = client(&first);
+    say(&mut before, scan("a", &[0]));
+    assert_eq!(answer(&mut before).0, 200);
+    first.child.kill().unwrap();
+    first.child.wait().unwrap();
+    let path = orders_file("again-2", &std::fs::read_to_string(&first.path).unwrap());
+    let second = start(first.at, path);
+    let mut after = client(&second);
+    say(&mut after, scan("a", &[0]));
+    assert_eq!(answer(&mut after).0, 200);
+}
+
+#[test_case("", "", "ROUTER_CONFIG is not set"; "no file named")]
+#[test_case("{", "", "more after the value at byte 6"; "not JSON")]
+#[test_case("\"pure\"", "\"none\"", "services.0.repeat: unknown word none"; "unknown word")]
+#[test_case("5000", "\"none\"", "settings: tick: not a number: none"; "not a number")]
+#[test_case("127.0.0.1:9\"", "none\"", "listen is no address and port: none"; "no address")]
+fn what_cant_be_started_from_is_told_in_one_line(from: &str, to: &str, says: &str) {
+    let text = orders("127.0.0.1:9", free_address(), &list(&[]));
+    let path = orders_file(&format!("bad-{}", says.len()), &text.replacen(from, to, 1));
+    let mut command = command(&path);
+    if from.is_empty() {
+        command.env_remove("ROUTER_CONFIG");
+    }
+    let output = command.output().unwrap();
+    let _ = std::fs::remove_file(&path);
+    let line = String::from_utf8(output.stderr).unwrap();
+    assert!(!output.status.success() && line.contains(says) && line.lines().count() == 1, "{line}");
+}
