Short of descriptors: idle clients go at once, a dial waits for its place, no line a failure

Seen by tests under a low limit, stated or not: accept failed and logged every 20 ms, and a dial without a descriptor bounced its scan (503). Ruled out: port collisions between tests, which now have loopback addresses of their own. Lines at fault: the accept loop told nobody of a shortage; a dismissed idle client was lingered with for 0.5 s and kept its descriptor; a failed dial gave up at once. A stop no longer holds the door where it was shut. An overdue relay is known by its due time.

--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -49,6 +49,7 @@
         count += 1;
         hub.spawn(serve(hub.clone(), ClientId(count), stream));
     };
+    let mut short = false;
     while !hub.door.shut.get() {
         let moved = async {
             hub.door.moved.wait().await;
@@ -59,10 +60,16 @@
             continue;
         }
         match future::or(moved, async { Some(listener.accept().await) }).await {
-            Some(Ok((stream, _))) => enter(stream),
+            Some(Ok((stream, _))) => {
+                short = false;
+                enter(stream);
+            }
             Some(Err(error)) => {
                 if is_short(&error) {
-                    log::warn!("no client can be let in: {error}");
+                    if !std::mem::replace(&mut short, true) {
+                        log::warn!("no client can be let in: {error}");
+                    }
+                    hub.feed(Event::Short);
                 }
                 Timer::after(ACCEPT_PAUSE).await;
             }
@@ -108,7 +115,7 @@
     let mut listening = Listening { reader: Reader::default(), stirred: false };
     let read = |inbox: &mut Inbox| listening.read(&hub, client, &talk, inbox);
     let stop = pump(&stream, &talk.line, Inbox::new(MOST_UNREAD), read, |_| ()).await;
-    if matches!(stop, Stop::Closed) {
+    if matches!(stop, Stop::Closed) && !talk.line.is_cut() {
         linger(&stream, LINGER).await;
     }
     hub.clients.borrow_mut().remove(&client);
--- a/crates/mixer/src/program/hub.rs
+++ b/crates/mixer/src/program/hub.rs
@@ -124,7 +124,7 @@
     fn act(self: &Rc<Self>, effect: Effect) {
         match effect {
             Effect::Reply { client, reply, last } => self.reply(client, &reply, last),
-            Effect::Dismiss(client) => self.to_client(client, |talk| talk.line.close()),
+            Effect::Dismiss(client) => self.to_client(client, |talk| talk.line.dismiss()),
             Effect::Door(open) => self.door.open(open),
             Effect::ShutDoor => self.door.shut(),
             Effect::Dial { link, to, within } => {
--- a/crates/mixer/src/program/links.rs
+++ b/crates/mixer/src/program/links.rs
@@ -3,20 +3,23 @@
 use super::hub::Hub;
 use crate::protocol::frames::{self, Frame, MOST_FRAME};
 use crate::routing::{CallId, Ending, Event, LinkId};
-use crate::transport::{dial, is_short, pump, Inbox, Line, Stop};
+use crate::transport::{dial, is_short, pump, Inbox, Line, Stop, Stream};
+use async_io::Timer;
 use std::io;
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What may wait to be written to one searcher: a full link of the longest calls of one part.
 pub const MOST_WAITING: usize = 2 * 1024 * 1024;
+/// A client that is sent off frees its place within this.
+const ROOM_PAUSE: Duration = Duration::from_millis(5);
 /// The tag of frames whose writing nobody waits for.
 pub const UNTOLD: u64 = 0;
 
 pub async fn serve(hub: Rc<Hub>, link: LinkId, line: Rc<Line>, to: SocketAddr, within: Duration) {
-    let ending = match dial(to, within).await {
+    let ending = match dial_with_room(&hub, to, within).await {
         Err(error) => not_up(&error),
         Ok(stream) => {
             hub.feed(Event::LinkUp(link));
@@ -37,6 +40,21 @@
     hub.end_link(link, ending);
 }
 
+/// Where descriptors run short an idle client goes, and its place is waited for.
+async fn dial_with_room(hub: &Rc<Hub>, to: SocketAddr, within: Duration) -> io::Result<Stream> {
+    let began = Instant::now();
+    loop {
+        let left = within.saturating_sub(began.elapsed());
+        match dial(to, left).await {
+            Err(error) if is_short(&error) && left > ROOM_PAUSE => {
+                hub.feed(Event::Short);
+                Timer::after(ROOM_PAUSE).await;
+            }
+            dialled => return dialled,
+        }
+    }
+}
+
 fn not_up(error: &io::Error) -> Ending {
     match error.kind() {
         io::ErrorKind::ConnectionRefused => Ending::Refused,
--- a/crates/mixer/src/routing/alarms.rs
+++ b/crates/mixer/src/routing/alarms.rs
@@ -9,7 +9,7 @@
 pub enum Alarm {
     /// The module asked to be woken.
     Wake(Ticket),
-    /// A relay's time is over, if it is still the one that left then.
+    /// A relay's time is over, if it is still the one that is due then.
     Overdue(Ticket, Moment),
     /// A request that began then is to be whole.
     HalfAsked(ClientId, Moment),
--- a/crates/mixer/src/routing/clients.rs
+++ b/crates/mixer/src/routing/clients.rs
@@ -60,8 +60,13 @@
         if self.here.len() - leaving < self.most {
             return None;
         }
+        self.send_off_longest_idle(Some(newcomer))
+    }
+
+    /// The one that has been idle longest leaves.
+    pub fn send_off_longest_idle(&mut self, but: Option<ClientId>) -> Option<ClientId> {
         let since = |doing: &Doing| if let Doing::Idle(since) = doing { Some(*since) } else { None };
-        let others = self.here.iter().filter(|(client, _)| **client != newcomer);
+        let others = self.here.iter().filter(|(client, _)| Some(**client) != but);
         let idle = others.filter_map(|(client, doing)| Some((since(doing)?, *client)));
         let (_, client) = idle.min()?;
         self.set(client, Doing::Leaving);
--- a/crates/mixer/src/routing/desk.rs
+++ b/crates/mixer/src/routing/desk.rs
@@ -90,8 +90,9 @@
         }
     }
 
-    pub fn overdue(&mut self, ticket: Ticket, left: Moment) {
-        if self.relays.get(&ticket).is_some_and(|relay| relay.left == left) {
+    /// A ticket may be let again: the relay is meant whose time is over now.
+    pub fn overdue(&mut self, ticket: Ticket, due: Moment) {
+        if self.relays.get(&ticket).is_some_and(|relay| relay.due == due) {
             self.give_up(ticket, Landing::Silent);
         }
     }
@@ -255,7 +256,7 @@
         let errand = Errand { id, shard, waits_ms: 0, label, text };
         self.relays.insert(ticket, Relay { scan, part, to, left: self.now, due, errand, place: None });
         self.unplaced.push(ticket);
-        self.alarms.set(due, Alarm::Overdue(ticket, self.now));
+        self.alarms.set(due, Alarm::Overdue(ticket, due));
     }
 
     fn call_off(&mut self, relay: Ticket) {
--- a/crates/mixer/src/routing/event.rs
+++ b/crates/mixer/src/routing/event.rs
@@ -47,6 +47,8 @@
     /// The time asked for by `Effect::Alarm` has come.
     TimeCame,
     StopAsked,
+    /// A client could not be let in, or a searcher not be dialled, for want of a descriptor or memory.
+    Short,
     /// Who stood outside has been let in, and nobody listens any more.
     DoorShut,
 }
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -95,7 +95,7 @@
             }
         }
         let desk = &mut self.desk;
-        desk.effects.extend(desk.clients.door().filter(|_| !desk.stopping).map(Effect::Door));
+        desk.effects.extend(desk.clients.door().map(Effect::Door));
         desk.effects.extend(desk.alarms.changed().map(Effect::Alarm));
         std::mem::take(&mut desk.effects)
     }
@@ -228,12 +228,18 @@
         }
     }
 
+    /// Descriptors have run short in spite of the berths: idle clients go first.
+    fn make_room(&mut self) {
+        let leaves = self.desk.clients.send_off_longest_idle(None);
+        self.desk.effects.extend(leaves.map(Effect::Dismiss));
+    }
+
     fn time_came(&mut self) {
         self.desk.alarms.rang();
         while let Some(alarm) = self.desk.alarms.next(self.desk.now) {
             match alarm {
                 Alarm::Wake(ticket) => self.mixer.woken(&mut self.desk, ticket),
-                Alarm::Overdue(ticket, left) => self.desk.overdue(ticket, left),
+                Alarm::Overdue(ticket, due) => self.desk.overdue(ticket, due),
                 Alarm::HalfAsked(client, began) => {
                     if self.desk.clients.doing(client) == Some(Doing::Asking(began)) {
                         self.desk.clients.set(client, Doing::Leaving);
@@ -296,6 +302,7 @@
         Event::WatchBroke => state.mixer.watch(&mut state.desk, true),
         Event::TimeCame => state.time_came(),
         Event::StopAsked => state.stop(),
+        Event::Short => state.make_room(),
         Event::DoorShut => state.desk.alarms.set(now + LAST_CALL, Alarm::LastCall),
     }
     let mut effects = state.settle();
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -446,6 +446,23 @@
     assert!(play.did(&Effect::Door(false)));
 }
 
+#[test]
+fn where_descriptors_run_short_all_the_same_an_idle_client_goes() {
+    let mut play = play(2);
+    let idle = play.come();
+    play.ask(ask("a", "look", &[0]));
+    play.feed(Event::Short);
+    assert!(play.did(&Effect::Dismiss(idle)));
+    let other = play.come();
+    play.feed(Event::Short);
+    assert!(play.did(&Effect::Dismiss(other)));
+    play.feed(Event::Short);
+    assert!(
+        play.took(|effect| matches!(effect, Effect::Dismiss(_)).then_some(())).is_empty(),
+        "none is idle"
+    );
+}
+
 #[test]
 fn a_request_that_stays_half_sent_is_dropped() {
     let mut play = play(1);
--- a/crates/mixer/src/transport/pump.rs
+++ b/crates/mixer/src/transport/pump.rs
@@ -48,6 +48,19 @@
         self.closing.get()
     }
 
+    /// Closes at once if nothing waits.
+    pub fn dismiss(&self) {
+        if self.outbox.is_empty() {
+            self.cut();
+        } else {
+            self.close();
+        }
+    }
+
+    pub fn is_cut(&self) -> bool {
+        self.cut.get()
+    }
+
     /// Closes at once.
     pub fn cut(&self) {
         self.cut.set(true);
--- a/crates/mixer/tests/sockets.rs
+++ b/crates/mixer/tests/sockets.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread;
 use std::time::Duration;
@@ -127,8 +128,12 @@
     }
 }
 
+/// An address where nobody listens yet: the loopback has a million, and no two tests share one.
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static COUNT: AtomicU8 = AtomicU8::new(1);
+    let process = std::process::id();
+    ([127, 16 + (process >> 8) as u8 % 200, process as u8, COUNT.fetch_add(1, Ordering::Relaxed)], 8443)
+        .into()
 }
 
 fn mixer(name: &str, discovery: SocketAddr, known: &str) -> Mixer {
@@ -138,9 +143,12 @@
 
 /// Starts a mixer and waits until it says that it can serve.
 fn start(at: SocketAddr, path: PathBuf) -> Mixer {
-    let mixer = Mixer { child: command(&path).stderr(Stdio::null()).spawn().unwrap(), at, path };
+    served(Mixer { child: command(&path).stderr(Stdio::null()).spawn().unwrap(), at, path })
+}
+
+fn served(mixer: Mixer) -> Mixer {
     for _ in 0..400 {
-        if let Ok(mut client) = TcpStream::connect(at) {
+        if let Ok(mut client) = TcpStream::connect(mixer.at) {
             client.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
             if answer(&mut BufReader::new(client)).0 == 200 {
                 return mixer;
@@ -247,6 +255,37 @@
     }
 }
 
+/// `/proc` counts its descriptors, and its time on the processor in hundredths of a second.
+fn descriptors_and_time(mixer: &Mixer) -> (usize, u64) {
+    let path = format!("/proc/{}", mixer.child.id());
+    let stat = std::fs::read_to_string(format!("{path}/stat")).unwrap();
+    let times: Vec<u64> = stat.split(' ').skip(13).take(2).map(|time| time.parse().unwrap()).collect();
+    (std::fs::read_dir(format!("{path}/fd")).unwrap().count(), times[0] + times[1])
+}
+
+/// The fewest descriptors that can be stated, and fewer than are stated.
+#[test_case("64", 64; "stated")]
+#[test_case("256", 32; "not stated")]
+fn short_of_descriptors_it_serves_on_and_does_not_spin(stated: &str, held: usize) {
+    let (address, _told) = searcher(good);
+    let at = free_address();
+    let text = orders(&at.to_string(), free_address(), &list(&[address])).replace("256", stated);
+    let path = orders_file(&format!("short-{held}"), &text);
+    let shell = format!("ulimit -n {held}; exec {}", env!("CARGO_BIN_EXE_fernglade-mixer"));
+    let mut command = Command::new("sh");
+    command.args(["-c", &shell]).env("ROUTER_CONFIG", &path).stdin(Stdio::null()).stderr(Stdio::null());
+    let mixer = served(Mixer { child: command.spawn().unwrap(), at, path });
+    let crowd: Vec<_> = (0..80).map(|_| client(&mixer)).collect();
+    for name in ["a", "b"] {
+        let mut client = client(&mixer);
+        say(&mut client, scan(name, &[0]));
+        assert_eq!(answer(&mut client).0, 200);
+    }
+    let (count, time) = descriptors_and_time(&mixer);
+    assert!(count <= held && time < 100, "{count} descriptors, {time}0 ms");
+    drop(crowd);
+}
+
 #[test]
 fn told_to_stop_it_answers_what_it_took_and_ends_by_itself() {
     let (address, told) = searcher(slow);
