--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -63,6 +63,7 @@
             Some(Ok((stream, _))) => {
                 short = false;
                 enter(stream);
+                future::yield_now().await;
             }
             Some(Err(error)) => {
                 if is_short(&error) {
--- a/crates/mixer/src/transport/pump.rs
+++ b/crates/mixer/src/transport/pump.rs
@@ -84,7 +84,8 @@
             }
             match next_bytes(stream, line, &mut inbox).await {
                 Ok(Some(0)) => return Stop::Ended,
-                Ok(_) => {}
+                // A peer that never pauses lets the others run.
+                Ok(_) => future::yield_now().await,
                 Err(_) => return Stop::Broke,
             }
         }
@@ -145,10 +146,50 @@
     let _ = stream.get_ref().shutdown(std::net::Shutdown::Write);
     let rest = async {
         let (mut socket, mut waste) = (stream, [0; 1024]);
-        while socket.read(&mut waste).await.is_ok_and(|count| count > 0) {}
+        while socket.read(&mut waste).await.is_ok_and(|count| count > 0) {
+            future::yield_now().await;
+        }
     };
     let late = async {
         Timer::after(most).await;
     };
     future::or(rest, late).await;
 }
+
+#[cfg(test)]
+mod tests {
+    use super::{pump, Inbox, Line, Stop};
+    use async_io::Async;
+    use futures_lite::future;
+    use std::cell::Cell;
+    use std::io::Write;
+    use std::net::{TcpListener, TcpStream};
+    use std::ops::ControlFlow;
+
+    #[test]
+    fn a_peer_that_never_pauses_lets_others_run() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let stream = Async::new(listener.accept().unwrap().0).unwrap();
+        peer.write_all(&[7; 60_000]).unwrap();
+        drop(peer);
+        let (line, reads, turns, over) = (Line::new(10), Cell::new(0), Cell::new(0), Cell::new(false));
+        let read = |inbox: &mut Inbox| {
+            inbox.used(inbox.unread().len());
+            reads.set(reads.get() + 1);
+            ControlFlow::<()>::Continue(())
+        };
+        let reader = async {
+            assert!(matches!(pump(&stream, &line, Inbox::new(4096), read, |_| ()).await, Stop::Ended));
+            over.set(true);
+        };
+        let other = async {
+            while !over.get() {
+                turns.set(turns.get() + 1);
+                future::yield_now().await;
+            }
+        };
+        async_io::block_on(future::zip(reader, other));
+        assert!(reads.get() > 10 && turns.get() + 1 >= reads.get(), "{reads:?} reads, {turns:?} turns");
+    }
+}
