--- a/crates/fronts/src/ids.rs
+++ b/crates/fronts/src/ids.rs
@@ -82,3 +82,28 @@
         &self.names[searcher.0 as usize]
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::{Numbers, Slots};
+    use fernglade::Searcher;
+
+    #[test]
+    fn an_id_kept_too_long_finds_nothing() {
+        let mut slots = Slots::default();
+        let old = slots.open("a");
+        assert_eq!((slots.close(old), slots.close(old), slots.len()), (Some("a"), None, 0));
+        let new = slots.open("b");
+        assert_eq!((new.slot, slots.get(old), slots.get(new)), (old.slot, None, Some(&"b")));
+    }
+
+    #[test]
+    fn searchers_are_numbered_as_they_are_first_named() {
+        let mut numbers = Numbers::default();
+        assert_eq!(
+            (numbers.number(&"x"), numbers.number(&"y"), numbers.number(&"x")),
+            (Searcher(0), Searcher(1), Searcher(0))
+        );
+        assert_eq!((numbers.name(Searcher(1)), numbers.known(&"z")), (&"y", None));
+    }
+}
