Bounds that add up: what all buffers may hold together stays under the memory limit

Checked by adding up: 400 links of 2 MiB and 600 clients of 210 KiB were over 192 MB. Requests' bodies are taken out as they come, so that a client's buffer needs only a head (16 KiB for 80); one answer may wait at a client (65 KiB for 130). A tighter bound on links (128 KiB) was tried: four parts of a 65 KB predicate to one searcher ended its link as stuck, found by the new test, and undone; waiting calls are bounded by the parts that are open. A frame alone is taken whatever its size.

--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -14,10 +14,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// One answer, and the answer to what follows it at once.
-const MOST_WAITING: usize = 2 * (MOST_BODY + 1024);
-/// A body and its head; what follows at once waits with the system.
-const MOST_UNREAD: usize = MOST_BODY + 16 * 1024;
+/// One answer.
+const MOST_WAITING: usize = MOST_BODY + 1024;
+/// A head; a body is taken out as it comes, and what follows an open request waits with the system.
+const MOST_UNREAD: usize = 16 * 1024;
 /// After a failure to accept: long enough not to spin, short against any client's time.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long a closed connection's last bytes may take to be fetched.
--- a/crates/mixer/src/program/links.rs
+++ b/crates/mixer/src/program/links.rs
@@ -11,7 +11,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// What may wait to be written to one searcher: a full link of the longest calls of one part.
+/// What may wait to be written to one searcher: the longest calls of one part, on a link full of them. Usual
+/// calls take a hundred bytes; all links together hold no more of them than parts are open.
 pub const MOST_WAITING: usize = 2 * 1024 * 1024;
 /// A client that is sent off frees its place within this.
 const ROOM_PAUSE: Duration = Duration::from_millis(5);
--- a/crates/mixer/src/program/watch.rs
+++ b/crates/mixer/src/program/watch.rs
@@ -4,7 +4,6 @@
 use crate::protocol::http::{get, Reader};
 use crate::protocol::json::Json;
 use crate::protocol::lists::{news, watch_path, whole_path, News};
-use crate::protocol::MOST_BODY;
 use crate::routing::Event;
 use crate::transport::{dial, Bell, Inbox, Stream};
 use async_io::Timer;
@@ -16,6 +15,8 @@
 
 /// How long the agent may hold a watch: long, as each answer costs a call, and well under its minute.
 const HELD: Duration = Duration::from_millis(10_000);
+/// A head; the body is taken out as it comes.
+const MOST_UNREAD: usize = 16 * 1024;
 /// How much longer an answer may take that is due: the agent stands on this machine.
 const LATE: Duration = Duration::from_millis(1_000);
 
@@ -100,7 +101,7 @@
     async fn exchange(&self, mut stream: &Stream, path: &str) -> Result<(String, bool, Vec<u8>), String> {
         let failed = |e: std::io::Error| e.to_string();
         stream.write_all(&get(path, &self.at.to_string())).await.map_err(failed)?;
-        let (mut inbox, mut reader) = (Inbox::new(MOST_BODY + 16 * 1024), Reader::default());
+        let (mut inbox, mut reader) = (Inbox::new(MOST_UNREAD), Reader::default());
         loop {
             let (used, message) = reader.read(inbox.unread()).map_err(|fault| format!("{fault:?}"))?;
             inbox.used(used);
--- a/crates/mixer/src/transport/outbox.rs
+++ b/crates/mixer/src/transport/outbox.rs
@@ -25,10 +25,10 @@
         Self { queue: RefCell::default(), most, bell: Bell::default() }
     }
 
-    /// False where the bound is reached: the other side does not read.
+    /// False where the bound is reached: the other side does not read. One frame is taken whatever its size.
     pub fn push(&self, tag: u64, frame: Vec<u8>) -> bool {
         let mut queue = self.queue.borrow_mut();
-        if queue.held + frame.len() > self.most {
+        if queue.held > 0 && queue.held + frame.len() > self.most {
             return false;
         }
         queue.held += frame.len();
@@ -113,6 +113,7 @@
         assert!(outbox.withdraw(2));
         assert_eq!(step(), Some(1));
         assert!(!outbox.withdraw(1) && outbox.is_empty());
-        assert!(outbox.push(4, vec![0; 10]), "its room is free again");
+        assert!(outbox.push(4, vec![0; 11]), "nothing waits, and its room is free again");
+        assert!(!outbox.push(5, vec![0]));
     }
 }
--- a/crates/mixer/tests/sockets.rs
+++ b/crates/mixer/tests/sockets.rs
@@ -170,10 +170,14 @@
 }
 
 fn scan(name: &str, shards: &[u32]) -> String {
+    scan_for(r"c\u00e9", name, shards)
+}
+
+fn scan_for(predicate: &str, name: &str, shards: &[u32]) -> String {
     let portion = 1.0 / shards.len() as f64;
     let range = |shard| format!(r#"{{"range":{shard},"portion":{portion}}}"#);
     let ranges: Vec<String> = shards.iter().map(range).collect();
-    let body = format!(r#"{{"ranges":[{}],"predicate":"c\u00e9"}}"#, ranges.join(","));
+    let body = format!(r#"{{"ranges":[{}],"predicate":"{predicate}"}}"#, ranges.join(","));
     let headers = format!("X-Request-ID: {name}\r\nX-Tenant-Id: acme\r\nX-Timeout: 4.0\r\n");
     format!("POST /look?key=1 HTTP/1.1\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
 }
@@ -204,6 +208,9 @@
     say(&mut client, scan("b", &[2]) + &scan("c", &[3]));
     assert!(answer(&mut client).2.contains("of b.2"));
     assert!(answer(&mut client).2.contains("of c.3"));
+    say(&mut client, scan_for(&"x".repeat(65_000), "long", &[0, 1, 2, 3]));
+    assert_eq!(answer(&mut client).0, 200, "a body near its bound goes through whole");
+    assert!(told.iter().any(|(_, rest)| rest.starts_with("long.") && rest.len() > 65_000));
 }
 
 #[test]
