--- a/crates/mixer/src/protocol/frames.rs
+++ b/crates/mixer/src/protocol/frames.rs
@@ -124,9 +124,13 @@
         assert_eq!((give_up("a.3"), check()), (said(b'n', "a.3"), said(b'o', "")));
     }
 
-    #[test_case(b'q', "a.3 good 1840277719 -\n5be2a07c\n x", Frame::Part { id: "a.3".into(), end: PartEnd::Honoured, value: "5be2a07c\n x".into() }; "honoured")]
-    #[test_case(b'q', "a.3 bad 0 -\n", Frame::Part { id: "a.3".into(), end: PartEnd::Erred, value: "".into() }; "erred")]
-    #[test_case(b'q', "a.3 later 0 q=2\n", Frame::Part { id: "a.3".into(), end: PartEnd::TurnedAway, value: "".into() }; "turned away")]
+    fn ended(end: PartEnd, value: &str) -> Frame {
+        Frame::Part { id: "a.3".into(), end, value: value.into() }
+    }
+
+    #[test_case(b'q', "a.3 good 1840277719 -\n5be2\n x", ended(PartEnd::Honoured, "5be2\n x"); "honoured")]
+    #[test_case(b'q', "a.3 bad 0 -\n", ended(PartEnd::Erred, ""); "erred")]
+    #[test_case(b'q', "a.3 later 0 q=2\n", ended(PartEnd::TurnedAway, ""); "turned away")]
     #[test_case(b'o', "good", Frame::Check(true); "there")]
     #[test_case(b'o', "bad", Frame::Check(false); "not there")]
     #[test_case(b'p', "-", Frame::Report; "report")]
--- a/crates/mixer/src/routing/desk.rs
+++ b/crates/mixer/src/routing/desk.rs
@@ -170,7 +170,8 @@
         dropped.into_iter().for_each(|(link, call)| self.withdrawn(link, call));
     }
 
-    /// Puts the relays of this event on links, those to one searcher in shared calls; false where there are none.
+    /// Puts the relays of this event on links, those to one searcher in shared calls; false where there are
+    /// none.
     pub fn place_all(&mut self) -> bool {
         let any = !self.unplaced.is_empty();
         let mut by_searcher: BTreeMap<Searcher, Vec<Ticket>> = BTreeMap::new();
--- a/crates/mixer/src/routing/roll.rs
+++ b/crates/mixer/src/routing/roll.rs
@@ -22,8 +22,8 @@
 }
 
 impl Roll {
-    /// Takes news in, and gives what the module is to hear. A list of changes that is older than what was told
-    /// before has changed hands at the agent: the whole list is to be had.
+    /// Takes news in, and gives what the module is to hear. After a list of changes that is older than what
+    /// was told before, the whole list is to be had.
     pub fn take(&mut self, news: &News) -> Vec<Listing> {
         let back = !news.whole && self.version.is_some_and(|version| news.version < version);
         self.version = (!back).then_some(news.version);
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -383,12 +383,16 @@
     assert!(play.did(&Effect::Watch(Some(4))));
 }
 
+fn wrong(what: &str) -> Blame {
+    Blame::Request(what.into())
+}
+
 #[test_case(ask("a", "nothing", &[0]), Blame::Path; "unknown traffic type")]
-#[test_case(Ask { customer: "other".into(), ..ask("a", "look", &[0]) }, Blame::Request("an unknown X-Tenant-Id".into()); "unknown customer")]
-#[test_case(Ask { label: None, ..ask("a", "fix", &[0]) }, Blame::Request("no Idempotency-Key".into()); "no label")]
-#[test_case(ask("a", "look", &[8]), Blame::Request("no range 8".into()); "unknown shard")]
-#[test_case(ask("a", "look", &[1, 1]), Blame::Request("a range stands twice".into()); "a part twice")]
-#[test_case(ask("a", "look", &[]), Blame::Request("the portions are not a whole".into()); "no parts")]
+#[test_case(Ask { customer: "b".into(), ..ask("a", "look", &[0]) }, wrong("an unknown X-Tenant-Id"); "customer")]
+#[test_case(Ask { label: None, ..ask("a", "fix", &[0]) }, wrong("no Idempotency-Key"); "no label")]
+#[test_case(ask("a", "look", &[8]), wrong("no range 8"); "unknown shard")]
+#[test_case(ask("a", "look", &[1, 1]), wrong("a range stands twice"); "a part twice")]
+#[test_case(ask("a", "look", &[]), wrong("the portions are not a whole"); "no parts")]
 #[test_case(ask("open", "look", &[0]), Blame::Conflict; "a name that is open")]
 fn a_senseless_scan_is_blamed_at_once(asked: Ask, blame: Blame) {
     let mut play = play(1);
