Checks that nobody answers leave no links behind

Found in review, by what holds a link: one with a check under way is never idle, so each check of a searcher that takes connections and stays mute dialled a further one, every five seconds. In the new test ten berths were full after ten checks, and from then on neither checks nor parts got a link.

--- a/crates/mixer/src/routing/desk.rs
+++ b/crates/mixer/src/routing/desk.rs
@@ -291,7 +291,10 @@
         let Some(address) = self.roll.address(searcher).filter(|_| self.roll.is_ready(searcher)) else {
             return;
         };
-        let found = self.pool.to_check(searcher, address).or_else(|| self.dial(searcher, address));
+        // Checks of one searcher come one after another: one that is unanswered by now never will be.
+        let mute = self.pool.drop_mute(searcher);
+        self.effects.extend(mute.into_iter().map(Effect::HangUp));
+        let found = self.pool.any(searcher, address).or_else(|| self.dial(searcher, address));
         let Some(link) = found.and_then(|id| self.pool.links.get_mut(&id)) else { return };
         link.checking = true;
         if link.up {
--- a/crates/mixer/src/routing/pool.rs
+++ b/crates/mixer/src/routing/pool.rs
@@ -71,9 +71,19 @@
         self.of(to, address).filter(|(_, link)| fits(link)).min_by_key(|(_, link)| !link.up).map(|(id, _)| id)
     }
 
-    /// The link to ask whether its searcher is there: not one that still owes an answer.
-    pub fn to_check(&self, to: Searcher, address: SocketAddr) -> Option<LinkId> {
-        self.of(to, address).find(|(_, link)| !link.checking).map(|(id, _)| id)
+    pub fn any(&self, to: Searcher, address: SocketAddr) -> Option<LinkId> {
+        self.of(to, address).map(|(id, _)| id).next()
+    }
+
+    /// Takes out a searcher's links that owe the answer to a check and nothing else.
+    pub fn drop_mute(&mut self, of: Searcher) -> Vec<LinkId> {
+        let owing = |(id, link): (&LinkId, &mut Link)| {
+            let owes = link.to == of && std::mem::take(&mut link.checking);
+            (owes && link.is_idle()).then_some(*id)
+        };
+        let mute: Vec<LinkId> = self.links.iter_mut().filter_map(owing).collect();
+        mute.iter().for_each(|id| drop(self.links.remove(id)));
+        mute
     }
 
     /// The links to a searcher at its present address.
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -517,6 +517,24 @@
     assert!(play.did(&Effect::Leave));
 }
 
+#[test]
+fn checks_that_nobody_answers_leave_no_links_behind() {
+    let mut play = play(2);
+    play.ask(ask("a", "look", &[0]));
+    let (link, _) = play.dials()[0];
+    play.feed(Event::LinkEnded(link, Ending::Refused));
+    play.send();
+    let mut checks = 0;
+    for _ in 0..50 {
+        play.pass(5_000);
+        for (link, _) in play.dials() {
+            play.feed(Event::LinkUp(link));
+            checks += usize::from(play.did(&Effect::Check(link)));
+        }
+    }
+    assert!(checks > 40 && play.state.desk().pool.links.len() <= 3, "{checks} checks");
+}
+
 #[test]
 fn a_mute_searcher_holds_nothing_up_and_nothing_grows_for_it() {
     let mut play = play(2);
