--- a/crates/mixer/tests/sockets.rs
+++ b/crates/mixer/tests/sockets.rs
@@ -78,15 +78,26 @@
 
 /// Discovery that gives the list once, in chunks, and then says nothing.
 fn agent(list: String) -> SocketAddr {
+    let (half, rest) = list.split_at(list.len() / 2);
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let chunks = format!("{:x}\r\n{half}\r\n{:x}\r\n{rest}\r\n0\r\n\r\n", half.len(), rest.len());
+    agent_saying(vec![format!("{head}{chunks}")])
+}
+
+/// Discovery that answers once on each connection, and keeps the last one open.
+fn agent_saying(answers: Vec<String>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
-        let (mut stream, _) = listener.accept().unwrap();
-        let (half, rest) = list.split_at(list.len() / 2);
-        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-        let chunks = format!("{:x}\r\n{half}\r\n{:x}\r\n{rest}\r\n0\r\n\r\n", half.len(), rest.len());
-        let _ = stream.write_all(format!("{head}{chunks}").as_bytes());
+        let mut last = None;
+        for answer in answers {
+            let (mut stream, _) = listener.accept().unwrap();
+            stream.read_exact(&mut [0; 16]).unwrap();
+            let _ = stream.write_all(answer.as_bytes());
+            last = Some(stream);
+        }
         thread::sleep(PATIENCE);
+        drop(last);
     });
     address
 }
@@ -213,6 +224,20 @@
     assert!(told.iter().any(|(_, rest)| rest.starts_with("long.") && rest.len() > 65_000));
 }
 
+#[test]
+fn discovery_that_talks_nonsense_is_asked_again_until_it_makes_sense() {
+    let (address, _told) = searcher(good);
+    let http =
+        |status, body: &str| format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let list = http(200, &list(&[address]));
+    let answers = vec!["".into(), "what?\r\n\r\n".into(), http(500, ""), http(200, "{}"), list];
+    // It says that it can serve only once it knows of a searcher.
+    let mixer = mixer("nonsense", agent_saying(answers), r#"{"generation":9,"reset":true,"instances":[]}"#);
+    let mut client = client(&mixer);
+    say(&mut client, scan("a", &[0]));
+    assert_eq!(answer(&mut client).0, 200);
+}
+
 #[test]
 fn what_one_client_does_wrong_no_other_notices() {
     let (address, _told) = searcher(good);
