--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,6 +1,6 @@
 //! Every decision of a fernglade mixer: where each part of a scan goes, when the scan is answered, and what
 //! is done when searchers fail. A front (`crates/simhost` for the simulator, `crates/mixer` on sockets) calls
-//! the public functions of [`Mixer`] with what it hears, and acts through `Host`. The interface: `src/lib.rs`.
+//! the public functions of [`Mixer`] with what it hears; it acts by `Host`. The interface is `src/lib.rs`.
 //!
 //! The ordinary path is the design's (docs/design.md): all parts go out at once, each to the replica with
 //! the least smoothed latency x (own parts out + 1); the scan is answered when every part has an outcome,
