--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -1,7 +1,7 @@
 //! Clients: let in, read, and answered, one request at a time on each connection.
 
 use super::hub::Hub;
-use crate::protocol::http::{Fault, Reader};
+use crate::protocol::http::{Fault, Reader, MOST_UNREAD};
 use crate::protocol::scans::{question, Blame, Question};
 use crate::protocol::MOST_BODY;
 use crate::routing::{ClientId, Event};
@@ -16,8 +16,6 @@
 
 /// One answer.
 const MOST_WAITING: usize = MOST_BODY + 1024;
-/// A head; a body is taken out as it comes, and what follows an open request waits with the system.
-const MOST_UNREAD: usize = 16 * 1024;
 /// After a failure to accept: long enough not to spin, short against any client's time.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long a closed connection's last bytes may take to be fetched.
--- a/crates/mixer/src/program/watch.rs
+++ b/crates/mixer/src/program/watch.rs
@@ -1,13 +1,12 @@
 //! Discovery: one call after another on one connection, each as soon as it is wished for.
 
 use super::hub::Hub;
-use crate::protocol::http::{get, Reader};
+use crate::protocol::http::{get, Message, Reader, MOST_UNREAD};
 use crate::protocol::json::Json;
 use crate::protocol::lists::{news, watch_path, whole_path, News};
 use crate::routing::Event;
-use crate::transport::{dial, Bell, Inbox, Stream};
-use async_io::Timer;
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use crate::transport::{dial, in_time, Bell, Inbox, Stream};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,8 +14,6 @@
 
 /// How long the agent may hold a watch: long, as each answer costs a call, and well under its minute.
 const HELD: Duration = Duration::from_millis(10_000);
-/// A head; the body is taken out as it comes.
-const MOST_UNREAD: usize = 16 * 1024;
 /// How much longer an answer may take that is due: the agent stands on this machine.
 const LATE: Duration = Duration::from_millis(1_000);
 
@@ -68,11 +65,8 @@
     async fn ask(&mut self, after: Option<u64>) -> Result<News, String> {
         let held = after.map_or(Duration::ZERO, |_| HELD);
         let path = after.map_or_else(whole_path, |version| watch_path(version, HELD.as_millis() as u64));
-        let late = async {
-            Timer::after(held + LATE).await;
-            Err("no answer in time".to_string())
-        };
-        future::or(self.call(&path), late).await
+        let answer = in_time(held + LATE, self.call(&path)).await;
+        answer.unwrap_or_else(|| Err("no answer in time".into()))
     }
 
     /// A kept connection that was closed meanwhile is no failure: the call is made once more on a new one.
@@ -88,17 +82,18 @@
         self.heard(answer?)
     }
 
-    fn heard(&mut self, (status, keeps, body): (String, bool, Vec<u8>)) -> Result<News, String> {
-        if !keeps {
+    fn heard(&mut self, answer: Message) -> Result<News, String> {
+        if !answer.keeps() {
             self.stream = None;
         }
+        let [_, status, _] = &answer.start;
         if status != "200" {
             return Err(format!("status {status:.10}"));
         }
-        news(&Json::parse(&body)?)
+        news(&Json::parse(&answer.body)?)
     }
 
-    async fn exchange(&self, mut stream: &Stream, path: &str) -> Result<(String, bool, Vec<u8>), String> {
+    async fn exchange(&self, mut stream: &Stream, path: &str) -> Result<Message, String> {
         let failed = |e: std::io::Error| e.to_string();
         stream.write_all(&get(path, &self.at.to_string())).await.map_err(failed)?;
         let (mut inbox, mut reader) = (Inbox::new(MOST_UNREAD), Reader::default());
@@ -106,7 +101,7 @@
             let (used, message) = reader.read(inbox.unread()).map_err(|fault| format!("{fault:?}"))?;
             inbox.used(used);
             if let Some(message) = message {
-                return Ok((message.start[1].clone(), message.keeps(), message.body));
+                return Ok(message);
             }
             match stream.read(inbox.space()).await.map_err(failed)? {
                 0 => return Err("it closed the connection".into()),
--- a/crates/mixer/src/protocol/http.rs
+++ b/crates/mixer/src/protocol/http.rs
@@ -4,6 +4,8 @@
 
 /// A head, start line and all, holds at most so much; some fifty usual header lines.
 const MOST_HEAD: usize = 8 * 1024;
+/// What a reader's caller has to hold: a head, as bodies are taken out as they come. More is left where it is.
+pub const MOST_UNREAD: usize = 2 * MOST_HEAD;
 /// A line that gives a chunk's size.
 const MOST_CHUNK_LINE: usize = 256;
 
--- a/crates/mixer/src/routing/desk.rs
+++ b/crates/mixer/src/routing/desk.rs
@@ -2,13 +2,13 @@
 
 use super::alarms::{Alarm, Alarms};
 use super::clients::{Clients, Doing};
-use super::pool::{Call, Pool, Stand};
+use super::pool::{Call, Link, Pool, Stand};
 use super::roll::Roll;
 use super::{CallId, ClientId, Effect, LinkId, Reply};
 use crate::protocol::frames::Errand;
 use fernglade::{Host, Landing, Moment, ScanId, Searcher, Span, Ticket};
 use fernglade_fronts::Slots;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 /// A scan that is open. It goes with its final answer.
@@ -40,7 +40,8 @@
     pub effects: Vec<Effect>,
     pub clients: Clients,
     pub scans: Slots<Open>,
-    pub names: BTreeMap<String, ScanId>,
+    /// Their names: no two that are open share one.
+    pub names: BTreeSet<String>,
     /// Scans and parts that are open.
     pub held: usize,
     pub relays: BTreeMap<Ticket, Relay>,
@@ -67,11 +68,11 @@
 
     /// Ends our wait for a relay. What has not been written of it never is.
     pub fn give_up(&mut self, ticket: Ticket, how: Landing) {
-        let Some(Relay { place: Some((link_id, call_id)), .. }) = self.land(ticket, how) else { return };
+        let Some(relay) = self.land(ticket, how) else { return };
+        let (Some((link_id, call_id)), id) = (relay.place, relay.errand.id) else { return };
         let Some(link) = self.pool.links.get_mut(&link_id) else { return };
         let Some(call) = link.calls.get_mut(&call_id) else { return };
-        let Some(at) = call.parts.iter().position(|(other, _)| *other == ticket) else { return };
-        let (_, id) = call.parts.remove(at);
+        call.parts.retain(|other| *other != ticket);
         match call.stand {
             Stand::Held => {}
             Stand::Handed | Stand::Recalled => {
@@ -97,6 +98,13 @@
         }
     }
 
+    /// A part that is out on a link, by its id.
+    pub fn find(&self, link: LinkId, id: &str) -> Option<(CallId, Ticket)> {
+        let named = |ticket: &&Ticket| self.relays.get(ticket).is_some_and(|relay| relay.errand.id == id);
+        let within = |(number, call): (&CallId, &Call)| Some((*number, *call.parts.iter().find(named)?));
+        self.pool.links.get(&link)?.calls.iter().find_map(within)
+    }
+
     pub fn link_up(&mut self, id: LinkId) {
         let Some(link) = self.pool.links.get_mut(&id) else { return };
         link.up = true;
@@ -113,7 +121,7 @@
             return;
         };
         call.stand = Stand::Handed;
-        let errand = |(ticket, _): &(Ticket, String)| {
+        let errand = |ticket: &Ticket| {
             let relay = self.relays.get(ticket)?;
             let waits_ms = (relay.due.since(self.now).micros() / 1000).max(1);
             Some(Errand { waits_ms, ..relay.errand.clone() })
@@ -138,7 +146,7 @@
         let Some(link) = self.pool.links.get_mut(&link_id) else { return };
         let Some(call) = link.calls.remove(&call_id) else { return };
         let ready = self.roll.is_ready(link.to);
-        for (ticket, _) in call.parts {
+        for ticket in call.parts {
             if ready {
                 self.unplaced.push(ticket);
             } else {
@@ -149,11 +157,8 @@
 
     /// Takes back what was not written to searchers that are to get nothing new, and lets go of their links.
     pub fn keep_drains(&mut self) {
+        self.let_go(|roll, link| !roll.is_ready(link.to) || roll.address(link.to) != Some(link.address));
         let roll = &self.roll;
-        let idle = self
-            .pool
-            .drop_idle(|link| !roll.is_ready(link.to) || roll.address(link.to) != Some(link.address));
-        self.effects.extend(idle.into_iter().map(Effect::HangUp));
         let mut dropped = Vec::new();
         for (link_id, link) in self.pool.links.iter_mut().filter(|(_, link)| !roll.is_ready(link.to)) {
             for (call_id, call) in &mut link.calls {
@@ -170,6 +175,12 @@
         dropped.into_iter().for_each(|(link, call)| self.withdrawn(link, call));
     }
 
+    /// Hangs up links on which nothing is going on.
+    fn let_go(&mut self, of: impl Fn(&Roll, &Link) -> bool) {
+        let idle = self.pool.drop_idle(|link| of(&self.roll, link));
+        self.effects.extend(idle.into_iter().map(Effect::HangUp));
+    }
+
     /// Puts the relays of this event on links, those to one searcher in shared calls; false where there are
     /// none.
     pub fn place_all(&mut self) -> bool {
@@ -195,15 +206,12 @@
             return;
         };
         let call_id = CallId(self.pool.number());
-        let mut parts = Vec::new();
         for ticket in tickets {
-            if let Some(relay) = self.relays.get_mut(ticket) {
-                relay.place = Some((link_id, call_id));
-                parts.push((*ticket, relay.errand.id.clone()));
-            }
+            self.relays.entry(*ticket).and_modify(|relay| relay.place = Some((link_id, call_id)));
         }
         let Some(link) = self.pool.links.get_mut(&link_id) else { return };
-        link.calls.insert(call_id, Call { parts, stand: Stand::Held, given_up: Vec::new() });
+        let call = Call { parts: tickets.to_vec(), stand: Stand::Held, given_up: Vec::new() };
+        link.calls.insert(call_id, call);
         if link.up {
             self.hand_over(link_id, call_id);
         }
@@ -211,8 +219,7 @@
 
     fn dial(&mut self, to: Searcher, address: std::net::SocketAddr) -> Option<LinkId> {
         if self.pool.is_full() {
-            let idle = self.pool.drop_idle(|_| true);
-            self.effects.extend(idle.into_iter().map(Effect::HangUp));
+            self.let_go(|_, _| true);
         }
         let link = self.pool.open(to, address)?;
         self.effects.push(Effect::Dial { link, to: address, within: self.dial_within });
@@ -303,8 +310,7 @@
     }
 
     fn hang_up(&mut self, searcher: Searcher) {
-        let idle = self.pool.drop_idle(|link| link.to == searcher);
-        self.effects.extend(idle.into_iter().map(Effect::HangUp));
+        self.let_go(|_, link| link.to == searcher);
     }
 
     fn watch_list(&mut self) {
--- a/crates/mixer/src/routing/pool.rs
+++ b/crates/mixer/src/routing/pool.rs
@@ -20,7 +20,7 @@
 
 /// Takes one place on its link until its last part has landed.
 pub struct Call {
-    pub parts: Vec<(Ticket, String)>,
+    pub parts: Vec<Ticket>,
     pub stand: Stand,
     /// Ids given up while it could not be taken back.
     pub given_up: Vec<String>,
@@ -38,13 +38,6 @@
     pub fn is_idle(&self) -> bool {
         self.calls.is_empty() && !self.checking
     }
-
-    /// The call and place of a part that is out on it.
-    pub fn find(&self, id: &str) -> Option<(CallId, Ticket)> {
-        let within =
-            |call: &Call| call.parts.iter().find(|(_, known)| known == id).map(|(ticket, _)| *ticket);
-        self.calls.iter().find_map(|(number, call)| Some((*number, within(call)?)))
-    }
 }
 
 /// Bounded by the descriptors set aside for it.
@@ -77,13 +70,9 @@
 
     /// Takes out a searcher's links that owe the answer to a check and nothing else.
     pub fn drop_mute(&mut self, of: Searcher) -> Vec<LinkId> {
-        let owing = |(id, link): (&LinkId, &mut Link)| {
-            let owes = link.to == of && std::mem::take(&mut link.checking);
-            (owes && link.is_idle()).then_some(*id)
-        };
-        let mute: Vec<LinkId> = self.links.iter_mut().filter_map(owing).collect();
-        mute.iter().for_each(|id| drop(self.links.remove(id)));
-        mute
+        let owes = |link: &mut Link| link.to == of && std::mem::take(&mut link.checking);
+        let mute = self.links.extract_if(.., |_, link| owes(link) && link.is_idle());
+        mute.map(|(id, _)| id).collect()
     }
 
     /// The links to a searcher at its present address.
@@ -109,9 +98,6 @@
 
     /// Takes out the links on which nothing is going on.
     pub fn drop_idle(&mut self, of: impl Fn(&Link) -> bool) -> Vec<LinkId> {
-        let gone = |(id, link): (&LinkId, &Link)| (link.is_idle() && of(link)).then_some(*id);
-        let gone: Vec<LinkId> = self.links.iter().filter_map(gone).collect();
-        gone.iter().for_each(|id| drop(self.links.remove(id)));
-        gone
+        self.links.extract_if(.., |_, link| link.is_idle() && of(link)).map(|(id, _)| id).collect()
     }
 }
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -121,7 +121,7 @@
         let open =
             Open { client, name: ask.name.clone(), label: ask.label, text: ask.text.into(), parts, size: 0 };
         let id = self.desk.scans.open(open);
-        self.desk.names.insert(ask.name, id);
+        self.desk.names.insert(ask.name);
         self.desk.clients.set(client, Doing::Waiting(id));
         self.mixer.taken(&mut self.desk, id, scan);
     }
@@ -139,7 +139,7 @@
         if matches!(self.types[traffic_type].1.effect, Redoing::Labelled(_)) && ask.label.is_none() {
             return wrong("no Idempotency-Key".into());
         }
-        if self.desk.names.contains_key(&ask.name) {
+        if self.desk.names.contains(&ask.name) {
             return Err(Blame::Conflict);
         }
         if let Some(part) = ask.parts.iter().find(|part| part.shard >= self.shards) {
@@ -173,11 +173,11 @@
     }
 
     fn part_back(&mut self, link_id: LinkId, id: &str, end: PartEnd, value: String) {
-        let Some(link) = self.desk.pool.links.get_mut(&link_id) else { return };
         // Late, given up or never asked for: passed over.
-        let Some((call_id, ticket)) = link.find(id) else { return };
+        let Some((call_id, ticket)) = self.desk.find(link_id, id) else { return };
+        let Some(link) = self.desk.pool.links.get_mut(&link_id) else { return };
         if let Some(call) = link.calls.get_mut(&call_id) {
-            call.parts.retain(|(other, _)| *other != ticket);
+            call.parts.retain(|other| *other != ticket);
             if call.parts.is_empty() {
                 link.calls.remove(&call_id);
             }
@@ -221,7 +221,7 @@
         self.desk.effects.push(Effect::Note { to, ending });
         for call in link.calls.into_values() {
             let how = ending.landing(call.stand == Stand::Out);
-            call.parts.iter().for_each(|(ticket, _)| drop(self.desk.land(*ticket, how)));
+            call.parts.iter().for_each(|ticket| drop(self.desk.land(*ticket, how)));
         }
         if link.checking {
             self.desk.checked.push_back((link.to, false));
--- a/crates/mixer/src/transport/net.rs
+++ b/crates/mixer/src/transport/net.rs
@@ -2,6 +2,7 @@
 
 use async_io::{Async, Timer};
 use futures_lite::future;
+use std::future::Future;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
@@ -12,13 +13,19 @@
     Async::<TcpListener>::bind(at)
 }
 
-/// A connection that is up within the time, or `TimedOut`.
-pub async fn dial(to: SocketAddr, within: Duration) -> io::Result<Stream> {
+/// What comes of it, if it does so within the time.
+pub async fn in_time<T>(within: Duration, what: impl Future<Output = T>) -> Option<T> {
     let late = async {
         Timer::after(within).await;
-        Err(io::ErrorKind::TimedOut.into())
+        None
     };
-    let stream = future::or(Async::<TcpStream>::connect(to), late).await?;
+    future::or(async { Some(what.await) }, late).await
+}
+
+/// A connection that is up within the time, or `TimedOut`.
+pub async fn dial(to: SocketAddr, within: Duration) -> io::Result<Stream> {
+    let dialled = in_time(within, Async::<TcpStream>::connect(to)).await;
+    let stream = dialled.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
     stream.get_ref().set_nodelay(true)?;
     Ok(stream)
 }
--- a/crates/mixer/src/transport/pump.rs
+++ b/crates/mixer/src/transport/pump.rs
@@ -1,7 +1,6 @@
 //! Both directions of one connection, as one task, until either ends.
 
-use super::{Bell, Inbox, Outbox, Stream};
-use async_io::Timer;
+use super::{in_time, Bell, Inbox, Outbox, Stream};
 use futures_lite::{future, AsyncReadExt};
 use std::cell::Cell;
 use std::io;
@@ -106,10 +105,7 @@
                             line.outbox.bell.wait().await
                         }
                     };
-                    let late = async {
-                        Timer::after(FLUSH).await;
-                    };
-                    future::or(cut, late).await;
+                    in_time(FLUSH, cut).await;
                     line.cut.set(true);
                 }
                 Ok(())
@@ -150,10 +146,7 @@
             future::yield_now().await;
         }
     };
-    let late = async {
-        Timer::after(most).await;
-    };
-    future::or(rest, late).await;
+    in_time(most, rest).await;
 }
 
 #[cfg(test)]
