SIGHUP reads the orders again and moves the watch to the new discovery

Lines: program/hub.rs took Term and Int only, so that the system's default ended the program; program/watch.rs held one address for good and could not be interrupted in a watch of 10 s, longer than the 4 s after which news count as told. Now a wish ends the call under way and carries its address; the reducer holds where discovery is (Roll).

--- a/crates/mixer/src/program/hub.rs
+++ b/crates/mixer/src/program/hub.rs
@@ -42,10 +42,10 @@
     let clock = Clock::start();
     let mut state =
         State::new(&orders.readings, orders.seed, orders.berths).map_err(|what| what.to_string())?;
-    let first = state.begin(&orders.known, clock.now());
+    let first = state.begin(&orders.known, orders.discovery, clock.now());
     let listener = listen(orders.listen).map_err(|e| format!("cannot listen on {}: {e}", orders.listen))?;
-    let signals =
-        Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("cannot take signals: {e}"))?;
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+        .map_err(|e| format!("cannot take signals: {e}"))?;
     let hub = Rc::new(Hub {
         state: RefCell::new(state),
         events: RefCell::default(),
@@ -63,7 +63,7 @@
     log::info!("{} listens on {}, {} searchers known", orders.name, orders.listen, orders.known.rows.len());
     first.into_iter().for_each(|effect| hub.act(effect));
     hub.spawn(clients::let_in(hub.clone(), listener));
-    hub.spawn(watch::keep(hub.clone(), orders.discovery));
+    hub.spawn(watch::keep(hub.clone()));
     hub.spawn(ring(hub.clone()));
     hub.spawn(heed(hub.clone(), signals));
     hub.leave.wait().await;
@@ -94,10 +94,25 @@
 
 async fn heed(hub: Rc<Hub>, mut signals: Signals) {
     while let Some(signal) = signals.next().await {
-        if let Ok(signal) = signal {
-            log::info!("told to stop by {signal:?}");
-            hub.feed(Event::StopAsked);
+        match signal {
+            Ok(Signal::Hup) => read_again(&hub),
+            Ok(signal) => {
+                log::info!("told to stop by {signal:?}");
+                hub.feed(Event::StopAsked);
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+/// A file that can't be used leaves all as it is.
+fn read_again(hub: &Rc<Hub>) {
+    match Orders::read_again() {
+        Ok(orders) => {
+            log::info!("orders read again, discovery is at {}", orders.discovery);
+            hub.feed(Event::Moved(orders.discovery));
         }
+        Err(what) => log::warn!("the old orders stand: {what}"),
     }
 }
 
@@ -142,7 +157,7 @@
                     line.close();
                 }
             }
-            Effect::Watch(after) => self.watch.wish(after),
+            Effect::Watch { at, after } => self.watch.wish(at, after),
             Effect::Alarm(at) => {
                 self.alarm.set(Some(at));
                 self.alarm_set.ring();
--- a/crates/mixer/src/program/orders.rs
+++ b/crates/mixer/src/program/orders.rs
@@ -30,6 +30,12 @@
         Self::from_json(&json, variable).map_err(within)
     }
 
+    /// The file once more, after it was replaced. Its word on discovery now stands above the environment's,
+    /// which is as old as the program.
+    pub fn read_again() -> Result<Self, String> {
+        Self::read(|name| std::env::var(name).ok().filter(|_| name != "ROUTER_DISCOVERY"))
+    }
+
     fn from_json(json: &Json, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         let text = |name: &str, variable_name: &str| {
             let given =
@@ -59,9 +65,9 @@
 }
 
 fn contents(path: &str) -> Result<Vec<u8>, String> {
-    let size = std::fs::metadata(path).map_err(|e| e.to_string())?.len();
-    if size > MOST_ORDERS {
-        return Err(format!("{size} bytes, over {MOST_ORDERS}"));
+    let file = std::fs::metadata(path).map_err(|e| e.to_string())?;
+    if !file.is_file() || file.len() > MOST_ORDERS {
+        return Err(format!("no file of at most {MOST_ORDERS} bytes"));
     }
     std::fs::read(path).map_err(|e| e.to_string())
 }
--- a/crates/mixer/src/program/watch.rs
+++ b/crates/mixer/src/program/watch.rs
@@ -6,7 +6,7 @@
 use crate::protocol::lists::{news, watch_path, whole_path, News};
 use crate::routing::Event;
 use crate::transport::{dial, in_time, Bell, Inbox, Stream};
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,34 +17,52 @@
 /// How much longer an answer may take that is due: the agent stands on this machine.
 const LATE: Duration = Duration::from_millis(1_000);
 
-/// What is to be asked next, once.
+/// What is to be asked next: whom, and for what is newer than a version.
 #[derive(Default)]
 pub struct Wish {
-    after: Cell<Option<Option<u64>>>,
+    next: Cell<Option<(SocketAddr, Option<u64>)>>,
     bell: Bell,
 }
 
 impl Wish {
-    pub fn wish(&self, after: Option<u64>) {
-        self.after.set(Some(after));
+    pub fn wish(&self, at: SocketAddr, after: Option<u64>) {
+        self.next.set(Some((at, after)));
         self.bell.ring();
     }
+
+    async fn next(&self) -> (SocketAddr, Option<u64>) {
+        loop {
+            if let Some(next) = self.next.take() {
+                return next;
+            }
+            self.bell.wait().await;
+        }
+    }
 }
 
-pub async fn keep(hub: Rc<Hub>, agent: SocketAddr) {
-    let mut agent = Agent { at: agent, stream: None };
+/// A further wish ends the call under way, whose answer could only be old.
+pub async fn keep(hub: Rc<Hub>) {
     let mut silent = false;
+    let mut wish = hub.watch.next().await;
+    let mut agent = Agent { at: wish.0, stream: None };
     loop {
-        hub.watch.bell.wait().await;
-        let Some(after) = hub.watch.after.take() else { continue };
-        let event = match agent.ask(after).await {
-            Ok(news) => {
+        let (at, after) = wish;
+        if agent.at != at {
+            agent = Agent { at, stream: None };
+        }
+        let other = async { Err(hub.watch.next().await) };
+        let event = match future::or(other, async { Ok(agent.ask(after).await) }).await {
+            Err(other) => {
+                (agent.stream, wish) = (None, other);
+                continue;
+            }
+            Ok(Ok(news)) => {
                 if std::mem::take(&mut silent) {
                     log::info!("discovery answers again, version {}", news.version);
                 }
                 Event::Told(news)
             }
-            Err(what) => {
+            Ok(Err(what)) => {
                 agent.stream = None;
                 if !std::mem::replace(&mut silent, true) {
                     log::warn!("discovery at {}: {what}; the last list stands", agent.at);
@@ -53,6 +71,7 @@
             }
         };
         hub.feed(event);
+        wish = hub.watch.next().await;
     }
 }
 
--- a/crates/mixer/src/routing/desk.rs
+++ b/crates/mixer/src/routing/desk.rs
@@ -314,6 +314,6 @@
     }
 
     fn watch_list(&mut self) {
-        self.effects.push(Effect::Watch(self.roll.version));
+        self.effects.extend(self.roll.watch());
     }
 }
--- a/crates/mixer/src/routing/event.rs
+++ b/crates/mixer/src/routing/event.rs
@@ -44,6 +44,8 @@
     LinkEnded(LinkId, Ending),
     Told(News),
     WatchBroke,
+    /// Discovery is at another address from now on.
+    Moved(SocketAddr),
     /// The time asked for by `Effect::Alarm` has come.
     TimeCame,
     StopAsked,
@@ -85,8 +87,12 @@
     },
     Check(LinkId),
     HangUp(LinkId),
-    /// Asks discovery: for what is newer than a version, or for the whole list.
-    Watch(Option<u64>),
+    /// Asks discovery, in place of whatever it was asked before: for what is newer than a version, or for
+    /// the whole list.
+    Watch {
+        at: SocketAddr,
+        after: Option<u64>,
+    },
     /// Asks for `Event::TimeCame` at that time; replaces what was asked for before.
     Alarm(Moment),
     /// A link is over, for the log.
--- a/crates/mixer/src/routing/roll.rs
+++ b/crates/mixer/src/routing/roll.rs
@@ -1,5 +1,6 @@
 //! The searchers as the list names them: numbers, addresses, and the version to watch from.
 
+use super::Effect;
 use crate::protocol::lists::{News, Row};
 use fernglade::{Listing, Searcher};
 use fernglade_fronts::Numbers;
@@ -10,8 +11,10 @@
 pub struct Roll {
     numbers: Numbers<String>,
     lines: Vec<Option<Line>>,
+    /// Where discovery is; nowhere until it is told.
+    discovery: Option<SocketAddr>,
     /// What the next watch goes on from; none where the whole list is to be had first.
-    pub version: Option<u64>,
+    version: Option<u64>,
     /// The zone that it has a price to leave.
     pub dear_outside: Option<String>,
 }
@@ -22,6 +25,16 @@
 }
 
 impl Roll {
+    /// Discovery is there from now on, and what was had so far may be old: the whole list comes first.
+    pub fn move_to(&mut self, discovery: SocketAddr) {
+        (self.discovery, self.version) = (Some(discovery), None);
+    }
+
+    /// What discovery is to be asked next.
+    pub fn watch(&self) -> Option<Effect> {
+        self.discovery.map(|at| Effect::Watch { at, after: self.version })
+    }
+
     /// Takes news in, and gives what the module is to hear. After a list of changes that is older than what
     /// was told before, the whole list is to be had.
     pub fn take(&mut self, news: &News) -> Vec<Listing> {
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -10,9 +10,10 @@
 use crate::protocol::scans::{Ask, Blame, PART_FRAME};
 use crate::protocol::MOST_BODY;
 use fernglade::choice::Mixer;
-use fernglade::{Effect as Redoing, Landing, Moment, PartTaken, ScanTaken, Span, Ticket, TrafficType};
+use fernglade::{Effect as Redoing, Host, Landing, Moment, PartTaken, ScanTaken, Span, Ticket, TrafficType};
 use fernglade_fronts::{Misread, Readings};
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 /// A request that has begun is to be whole within this; clients send theirs in one piece.
 const HALF_ASKED: Span = Span::of_millis(5_000);
@@ -69,11 +70,10 @@
     }
 
     /// The list as it was last had, and the first watch.
-    pub fn begin(&mut self, known: &News, now: Moment) -> Vec<Effect> {
+    pub fn begin(&mut self, known: &News, discovery: SocketAddr, now: Moment) -> Vec<Effect> {
         self.desk.now = now;
         self.hear(known);
-        // What was had may be old: the whole list comes first.
-        self.desk.roll.version = None;
+        self.desk.roll.move_to(discovery);
         self.mixer.watch(&mut self.desk, false);
         self.settle()
     }
@@ -297,7 +297,11 @@
         Event::LinkEnded(link, ending) => state.link_ended(link, ending),
         Event::Told(news) => {
             state.hear(&news);
-            state.desk.effects.push(Effect::Watch(state.desk.roll.version));
+            state.desk.watch_list();
+        }
+        Event::Moved(discovery) => {
+            state.desk.roll.move_to(discovery);
+            state.desk.watch_list();
         }
         Event::WatchBroke => state.mixer.watch(&mut state.desk, true),
         Event::TimeCame => state.time_came(),
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -6,6 +6,7 @@
 use crate::protocol::scans::{Ask, AskedPart, Blame};
 use fernglade::{Landing, Moment, Span};
 use fernglade_fronts::Readings;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use test_case::test_case;
 
 const SETTINGS: &str =
@@ -16,6 +17,12 @@
 limits.attempts_cap=3\nlimits.cancel=true\nlimits.may_probe=true\nlimits.dial_timeout=250000\n\
 limits.max_open=40\nlimits.multiplex=32\ntick=5000\nfleet_size=2\n";
 
+const DISCOVERY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8500);
+
+fn watch(after: Option<u64>) -> Effect {
+    Effect::Watch { at: DISCOVERY, after }
+}
+
 struct Play {
     state: State,
     now: Moment,
@@ -48,7 +55,7 @@
     let now = Moment::at_micros(1_764_000_000_000_000);
     let mut play = Play { state, now, alarm: None, effects: Vec::new(), clients: 0 };
     let known = news(5, true, (0..searchers).map(|number| row(number, true)).collect());
-    let effects = play.state.begin(&known, now);
+    let effects = play.state.begin(&known, DISCOVERY, now);
     play.take(effects);
     play
 }
@@ -266,7 +273,7 @@
     play.feed(Event::ClientGone(client));
     assert!(play.did(&Effect::Withdraw(link, call)));
     play.feed(Event::Withdrawn(link, call));
-    assert!(play.effects.iter().all(|effect| matches!(effect, Effect::Watch(_))), "{:?}", play.effects);
+    assert!(play.effects.iter().all(|effect| matches!(effect, Effect::Watch { .. })), "{:?}", play.effects);
 }
 
 #[test]
@@ -369,18 +376,30 @@
 fn the_watch_goes_on_from_what_was_told_and_begins_anew_where_that_goes_back() {
     let mut play = play(1);
     play.pass(0);
-    assert!(play.did(&Effect::Watch(None)), "what was known may be old");
+    assert!(play.did(&watch(None)), "what was known may be old");
     play.feed(Event::Told(news(6, true, vec![row(0, true)])));
-    assert!(play.did(&Effect::Watch(Some(6))));
+    assert!(play.did(&watch(Some(6))));
     play.feed(Event::Told(news(4, false, vec![])));
-    assert!(play.did(&Effect::Watch(None)));
+    assert!(play.did(&watch(None)));
     play.feed(Event::Told(news(4, true, vec![row(0, true)])));
-    assert!(play.did(&Effect::Watch(Some(4))));
+    assert!(play.did(&watch(Some(4))));
     play.feed(Event::WatchBroke);
     play.pass(400);
-    assert!(!play.did(&Effect::Watch(Some(4))), "not at once");
+    assert!(!play.did(&watch(Some(4))), "not at once");
     play.pass(600);
-    assert!(play.did(&Effect::Watch(Some(4))));
+    assert!(play.did(&watch(Some(4))));
+}
+
+#[test]
+fn discovery_that_has_moved_is_asked_for_the_whole_list_at_once() {
+    let mut play = play(1);
+    play.feed(Event::Told(news(6, true, vec![row(0, true)])));
+    play.effects.clear();
+    let at = ([127, 0, 0, 2], 8500).into();
+    play.feed(Event::Moved(at));
+    assert_eq!(play.effects, [Effect::Watch { at, after: None }]);
+    play.feed(Event::Told(news(2, true, vec![row(0, true)])));
+    assert!(play.did(&Effect::Watch { at, after: Some(2) }), "and watched from there");
 }
 
 fn wrong(what: &str) -> Blame {
--- a/crates/mixer/tests/sockets.rs
+++ b/crates/mixer/tests/sockets.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use test_case::test_case;
 
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -328,8 +328,7 @@
     answer(&mut idle);
     say(&mut open, scan("a", &[0]));
     told.recv_timeout(PATIENCE).unwrap();
-    let id = mixer.child.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    signal(&mixer, "-TERM");
     assert_eq!(idle.read(&mut [0]).unwrap(), 0, "an idle connection ends");
     let mut late = client(&mixer);
     say(&mut late, scan("b", &[1]));
@@ -341,6 +340,44 @@
     assert!(mixer.child.wait().unwrap().success());
 }
 
+fn signal(mixer: &Mixer, which: &str) {
+    let id = mixer.child.id().to_string();
+    assert!(Command::new("kill").args([which, &id]).status().unwrap().success());
+}
+
+#[test]
+fn told_to_read_its_orders_again_it_asks_the_new_discovery_even_amid_a_watch() {
+    let ((old, _), (new, told)) = (searcher(good), searcher(good));
+    let (at, first) = (free_address(), agent(list(&[old])));
+    let text = |discovery| orders(&at.to_string(), discovery, &list(&[]));
+    let path = orders_file("reload", &text(first));
+    let child =
+        command(&path).env("ROUTER_DISCOVERY", first.to_string()).stderr(Stdio::null()).spawn().unwrap();
+    let mut mixer = served(Mixer { child, at, path });
+    let mut client = client(&mixer);
+    let mut asks = |name: &str| {
+        say(&mut client, scan(name, &[0]));
+        assert_eq!(answer(&mut client).0, 200);
+    };
+    let moved = text(agent(list(&[new])));
+    for wrong in ["", &moved[..moved.len() / 2], "{}"] {
+        std::fs::write(&mixer.path, wrong).unwrap();
+        signal(&mixer, "-HUP");
+        asks("a");
+    }
+    std::fs::write(&mixer.path, moved).unwrap();
+    signal(&mixer, "-HUP");
+    signal(&mixer, "-HUP");
+    let began = Instant::now();
+    while told.try_recv().is_err() {
+        asks("b");
+        assert!(began.elapsed() < PATIENCE, "the new list never came");
+    }
+    signal(&mixer, "-TERM");
+    drop(client);
+    assert!(mixer.child.wait().unwrap().success());
+}
+
 #[test]
 fn killed_it_starts_from_nothing_at_the_same_address() {
     let (address, _told) = searcher(good);
