--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -281,10 +281,12 @@
     assert_ne!(new, mute, "its searcher is reached anew");
     play.pass(100);
     play.back(new, "b.0", PartEnd::Honoured, "v");
+    play.pass(5_000);
     let gone = play.ask(ask("c", "look", &[0]));
     assert_eq!(play.send()[0].link, new);
-    play.pass(1_000);
+    play.pass(100);
     play.feed(Event::ClientGone(gone));
+    play.pass(5_000);
     play.ask(ask("d", "look", &[0]));
     assert_eq!(play.send()[0].link, new, "nobody waited until the time was up");
 }
