A part that is late by eight times the usual is given up for another replica

Probes: no such part was answered late; the links were up and, there, answered others. Lines: Mixer::taken set one timer, at the quoted time; nothing looked at a part before that but to place others. Now Mixer::hurry looks after max(8 x the smoothed time, a quarter of the quoted time) and gives a late part up where another may go out by rules 2 and 6 and by the limit; its connection is trusted no more (Host::hang_up: idle ones close, busy ones get nothing new unless something comes over them). Not a second copy: the first is called off. Part of mechanism 2.

--- a/crates/mixer/src/routing/desk.rs
+++ b/crates/mixer/src/routing/desk.rs
@@ -330,6 +330,7 @@
 
     fn hang_up(&mut self, searcher: Searcher) {
         self.let_go(|_, link| link.to == searcher);
+        self.pool.links.values_mut().filter(|link| link.to == searcher).for_each(|link| link.mute = true);
     }
 
     fn watch_list(&mut self) {
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -291,6 +291,23 @@
     assert_eq!(play.send()[0].link, new, "nobody waited until the time was up");
 }
 
+#[test]
+fn a_late_part_goes_to_another_searcher_and_its_link_gets_no_more() {
+    let mut play = play(2);
+    let client = play.ask(ask("a", "look", &[0]));
+    let first = play.send()[0].link;
+    play.pass(1_700);
+    assert!(play.did(&Effect::GiveUp { link: first, id: "a.0".into() }));
+    assert!(play.did(&Effect::HangUp(first)));
+    let second = play.send()[0].clone();
+    assert_eq!((second.errands[0].id.as_str(), second.link == first), ("a.0", false));
+    play.back(first, "a.0", PartEnd::Honoured, "late");
+    assert!(play.replies().is_empty());
+    play.back(second.link, "a.0", PartEnd::Honoured, "v");
+    let values = vec![(0, "v".to_string())];
+    assert_eq!(play.replies(), [(client, Reply::Answer { whole: true, values }, false)]);
+}
+
 #[test]
 fn a_frame_that_stays_half_said_fails_all_parts_on_its_link_at_once() {
     let mut play = play(2);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,8 +8,8 @@
 //!
 //! Beside the design stand six mechanisms:
 //! 1. failures, silence and parts in vain read as latency (`Roster::note_landed`, `Roster::standing`)
-//! 2. a failed part goes to another replica, in a budget, unless its scan brings searchers down; while they
-//!    die, one part goes ahead of its scan (`Mixer::relay_again`, `RelayBudget`, `Mixer::send_out`)
+//! 2. a part that failed or is late goes to another replica, in a budget, unless its scan brings searchers
+//!    down; while they die, one part goes ahead (`Mixer::relay_again`, `Mixer::hurry`, `Mixer::send_out`)
 //! 3. a fresh searcher's cap, which grows with its answers (`ColdCare`)
 //! 4. a limit on what is in flight at each searcher; what finds no room is turned away, least credit first:
 //!    scans, and the light parts of scans that may do without (`Roster::room`, `Door`, `Mixer::send_out`)
@@ -44,7 +44,6 @@
 /// in it. Where no budget is stated our own stands, so that trouble never doubles the load.
 #[derive(Default)]
 pub struct RelayBudget {
-    /// Relays that one part may have.
     cap: usize,
     few: f64,
     share: f64,
@@ -74,11 +73,9 @@
         further.drain(..further.partition_point(|at| now.since(*at) > self.window));
     }
 
-    fn spend(&mut self, now: Moment) -> bool {
+    fn has_room(&mut self, now: Moment) -> bool {
         self.forget(now);
-        let room = (self.further.len() + 1) as f64 <= self.few + self.share * self.taken.len() as f64;
-        self.further.extend(room.then_some(now));
-        room
+        (self.further.len() + 1) as f64 <= self.few + self.share * self.taken.len() as f64
     }
 }
 
@@ -107,10 +104,8 @@
     }
 }
 
-/// One searcher as this mixer knows it.
 #[derive(Default)]
 struct Seat {
-    /// What the list last said of it.
     told: Listing,
     /// When it started, and its answers since.
     fresh: Option<(Moment, usize)>,
@@ -214,7 +209,6 @@
         before
     }
 
-    /// The searchers that hold a shard and are listed ready.
     fn holders(&self, shard: u32) -> impl Iterator<Item = Searcher> + '_ {
         let offset = move |cell: u32| (cell + self.cells - shard % self.cells) % self.cells;
         let holds =
@@ -290,8 +284,7 @@
                 None => Some((latency * (seat.calls_out(self.per_call) + 1) as f64, searcher)),
             }
         };
-        let best = holders.into_iter().filter_map(score).min_by(|a, b| a.0.total_cmp(&b.0));
-        best.map(|(_, searcher)| searcher)
+        holders.into_iter().filter_map(score).min_by(|a, b| a.0.total_cmp(&b.0)).map(|best| best.1)
     }
 
     /// Whether the replicas of a shard have room under their limits for so many parts; where none is up, that
@@ -379,7 +372,6 @@
     best: f64,
     /// Each customer's scans a second at this mixer, and how far it is ahead of them; one line a customer.
     customers: Vec<(f64, f64, Moment)>,
-    /// How long a client that is turned away may be told to stay away.
     pause: Span,
     /// The longest that a client gave a try, for each traffic type.
     longest_left: BTreeMap<usize, Span>,
@@ -398,14 +390,6 @@
         *ahead > 3.0 * *rate + 1.0
     }
 
-    /// How long ago the client first asked: a repeat with less left than its sort has at most has only the
-    /// rest of the abandon time.
-    fn elapsed(&mut self, traffic_type: usize, repeat: bool, left: Span, abandon: Span) -> Span {
-        let longest = self.longest_left.entry(traffic_type).or_default();
-        *longest = left.max(*longest);
-        abandon.less(if repeat && left < *longest { left } else { abandon })
-    }
-
     /// A scan's credit for its work, against the best met: per part where credit does not grow with work.
     fn worth(&mut self, credit: f64, parts: usize) -> f64 {
         let worth = if self.by_work { credit } else { credit / parts.max(1) as f64 };
@@ -418,7 +402,7 @@
 struct Part {
     taken: PartTaken,
     tried: Vec<Searcher>,
-    out: Option<Ticket>,
+    out: Option<(Ticket, Moment)>,
     /// When the first relay left that is out or may have run.
     may_have_run: Option<Moment>,
     honoured: bool,
@@ -429,7 +413,6 @@
 struct Scan {
     traffic_type: usize,
     worth: f64,
-    /// When the one timer ends the wait.
     ends: Moment,
     parts: Vec<Part>,
     /// The searchers that a part was lost at with its connection.
@@ -474,8 +457,7 @@
         mixer
     }
 
-    /// Keeps the list watched where it has to be asked for. Where the watch broke or could not be had it asks
-    /// again, after a pause that lets a busy list recover.
+    /// Keeps the list watched; asks again, where that broke, after a pause that lets a busy list recover.
     pub fn watch(&mut self, host: &mut dyn Host, again: bool) {
         let pause = if again { 500 + self.roster.chance.below(500) as u64 } else { 0 };
         self.later(host, Span::of_millis(pause), |_, host| host.watch_list());
@@ -500,12 +482,15 @@
         }
     }
 
-    /// A scan comes in, with its parts.
     pub fn taken(&mut self, host: &mut dyn Host, id: ScanId, scan: ScanTaken) {
         let now = host.now();
         self.budget.note_taken(now, 1 + scan.parts.len());
         let Some(kind) = self.types.get(scan.traffic_type) else { return host.write_off(id) };
-        let elapsed = self.door.elapsed(scan.traffic_type, scan.repeat, scan.left, kind.abandon);
+        // A repeat with less left than its sort has at most has only the rest of the abandon time.
+        let longest = self.door.longest_left.entry(scan.traffic_type).or_default();
+        *longest = scan.left.max(*longest);
+        let first = !scan.repeat || scan.left >= *longest;
+        let elapsed = if first { Span::ZERO } else { kind.abandon.less(scan.left) };
         let quoted = kind.quoted + scan.work.unwrap_or(Span::ZERO) * kind.stretch;
         let late = elapsed + self.lead >= quoted;
         let quoted = if late { quoted } else { quoted.less(elapsed) };
@@ -531,10 +516,11 @@
                 mixer.close(host, id);
             }
         });
+        let late = (quoted * 0.25).max(Span::of_micros((8.0 * self.roster.typical) as u64));
+        self.later(host, late, move |mixer, host| mixer.hurry(host, id, late));
         self.send_out(host, id);
     }
 
-    /// The second step's parts come in.
     pub fn more_parts(&mut self, host: &mut dyn Host, id: ScanId, parts: &[PartTaken]) {
         self.budget.note_taken(host.now(), parts.len());
         let Some(scan) = self.scans.get_mut(&id) else { return };
@@ -549,7 +535,6 @@
         then.for_each(|then| then(self, host, (how, took)));
     }
 
-    /// A time asked for has come.
     pub fn woken(&mut self, host: &mut dyn Host, ticket: Ticket) {
         self.wakes.try_remove(ticket.0 as usize).into_iter().for_each(|then| then(self, host, ()));
     }
@@ -563,7 +548,6 @@
         }
     }
 
-    /// The client is gone: nothing is owed any more.
     pub fn client_left(&mut self, host: &mut dyn Host, id: ScanId) {
         self.scans.remove(&id).iter().for_each(|scan| self.call_off_all(host, scan));
     }
@@ -574,9 +558,9 @@
     }
 
     /// All parts go out at once, heaviest first. Where a searcher is at its limit, light parts of a scan that
-    /// may do without are skipped: against crowding by scans of many parts. Hurts when the limit is wrong: an
-    /// answer is less than it could be. While searchers die under parts, one part goes ahead until it landed
-    /// or is late, so that a scan that kills them kills one. Hurts where they die otherwise: a part's time.
+    /// may do without are skipped: against crowding by many parts. Hurts when the limit is wrong. While
+    /// searchers die under parts, one part goes ahead until it landed or is late, so that a scan that kills
+    /// them kills one. Hurts where they die otherwise: a part's time.
     fn send_out(&mut self, host: &mut dyn Host, id: ScanId) {
         let now = host.now();
         let Some(scan) = self.scans.get_mut(&id) else { return };
@@ -641,7 +625,7 @@
             mixer.settle(host, id);
         })) as u32);
         part.tried.push(to);
-        (part.out, part.lost) = (Some(relay), false);
+        (part.out, part.lost) = (Some((relay, now)), false);
         part.may_have_run = ran_before.or(Some(now));
         host.relay(relay, id, at, to, scan.ends.since(now));
     }
@@ -650,8 +634,14 @@
     /// whatever loses single parts. Hurts where all fail together; so it needs room as a scan of no credit
     /// would. A scan under whose parts two died may be what kills them, and is carried no further.
     fn relay_again(&mut self, host: &mut dyn Host, id: ScanId, at: usize) {
-        let now = host.now();
-        let Some(scan) = self.scans.get(&id) else { return };
+        if let Some(to) = self.another(host.now(), id, at) {
+            self.budget.further.push_back(host.now());
+            self.relay(host, id, at, to);
+        }
+    }
+
+    fn another(&mut self, now: Moment, id: ScanId, at: usize) -> Option<Searcher> {
+        let scan = self.scans.get(&id)?;
         let (part, kind, left) = (&scan.parts[at], &self.types[scan.traffic_type], scan.ends.since(now));
         let harmless = match (kind.effect, part.may_have_run) {
             (Effect::Redoable, _) | (_, None) => true,
@@ -659,17 +649,29 @@
             (Effect::Irreversible, Some(_)) => false,
         };
         let allowed = left > Span::ZERO && self.deaths(now, scan) < 2 && part.tried.len() < self.budget.cap;
-        if harmless && allowed && self.roster.room(now, left, part.taken.shard, 0.0, 1) {
-            let sort = (scan.traffic_type, kind.quoted);
-            let place = self.roster.place(now, part.taken.shard, sort, &part.tried);
-            if let Some(to) = place.filter(|_| self.budget.spend(now)) {
-                self.relay(host, id, at, to);
+        let room = harmless && allowed && self.roster.room(now, left, part.taken.shard, 0.0, 1);
+        let sort = (scan.traffic_type, kind.quoted);
+        let place = if room { self.roster.place(now, part.taken.shard, sort, &part.tried) } else { None };
+        place.filter(|_| self.budget.has_room(now))
+    }
+
+    /// A part out for eight times what is usual, and a quarter of the quoted time, is given up for another
+    /// replica, and its connection trusted no more: against parts and connections that fall silent alone.
+    /// Sooner, it would meet who only stands still for a while. Hurts where work done is lost by it.
+    fn hurry(&mut self, host: &mut dyn Host, id: ScanId, wait: Span) {
+        let Some(scan) = self.scans.get(&id) else { return };
+        let out = |(at, part): (usize, &Part)| Some((at, part.out?, *part.tried.last()?));
+        let out: Vec<_> = scan.parts.iter().enumerate().filter_map(out).collect();
+        for (at, (relay, left), to) in out {
+            if host.now().since(left) >= wait && self.another(host.now(), id, at).is_some() {
+                host.hang_up(to);
+                host.call_off(relay);
             }
         }
+        self.later(host, wait, move |mixer, host| mixer.hurry(host, id, wait));
     }
 
-    /// Ends the scan where every part has an outcome, enough are in to be whole, or what may be answered is
-    /// out of reach, so that its client knows at once.
+    /// Ends the scan where all parts have an outcome, enough are in, or what may be answered is out of reach.
     fn settle(&mut self, host: &mut dyn Host, id: ScanId) {
         let Some(scan) = self.scans.get(&id) else { return };
         let (step, kind) = (&scan.parts[scan.first..], &self.types[scan.traffic_type]);
@@ -713,17 +715,15 @@
     }
 
     fn call_off_all(&self, host: &mut dyn Host, scan: &Scan) {
-        scan.parts.iter().filter_map(|part| part.out).for_each(|relay| host.call_off(relay));
+        scan.parts.iter().filter_map(|part| part.out).for_each(|(relay, _)| host.call_off(relay));
     }
 
     /// The design's down mark: a connection failure sets it, a check that passes lifts it.
     fn reached_or_not(&mut self, host: &mut dyn Host, searcher: Searcher, how: Landing) {
-        match how {
-            Landing::Unreached if self.roster.seat(searcher).down.is_none() => {
-                self.check_later(host, searcher)
-            }
-            Landing::Honoured | Landing::Erred | Landing::TurnedAway => self.checked(host, searcher, true),
-            _ => {}
+        if how == Landing::Unreached && self.roster.seat(searcher).down.is_none() {
+            self.check_later(host, searcher);
+        } else if matches!(how, Landing::Honoured | Landing::Erred | Landing::TurnedAway) {
+            self.checked(host, searcher, true);
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -177,7 +177,8 @@
     fn wake(&mut self, ticket: Ticket, at: Moment);
     /// Asks whether a searcher is there; comes back as `Mixer::checked`.
     fn check(&mut self, searcher: Searcher);
-    /// Closes the idle connections to a searcher; the next relay opens a new one.
+    /// Trusts the connections to a searcher no more: idle ones are closed, and the others get no new relay
+    /// unless something comes over them.
     fn hang_up(&mut self, searcher: Searcher);
     /// Asks to be told of changes to the list.
     fn watch_list(&mut self);
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -46,7 +46,9 @@
         self.relays.push(Relay { ticket, scan, part, to: to.0, at: self.now, patience, landed: false });
     }
     fn call_off(&mut self, relay: Ticket) {
-        self.called_off.push(relay);
+        if !self.called_off.contains(&relay) {
+            self.called_off.push(relay);
+        }
     }
     fn answer(&mut self, scan: ScanId, whole: bool, last: bool) {
         let ending = if whole { Ending::Whole } else { Ending::Partial };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -417,6 +417,38 @@
     panic!("it was never tried again");
 }
 
+/// Parts once waited for the timer at a connection that had fallen silent, while others answered in no time.
+#[test_case(whole_only(), 495, 1, false; "not before a quarter of the quoted time")]
+#[test_case(whole_only(), 505, 100, false; "nor before eight times the usual")]
+#[test_case(whole_only(), 505, 1, true; "redoable")]
+#[test_case(labelled(), 505, 1, true; "labelled, inside its window")]
+#[test_case(irreversible(), 505, 1, false; "irreversible may have run")]
+fn a_part_that_is_late_is_given_up_for_another_replica(
+    kind: TrafficType,
+    after: u64,
+    usual: u64,
+    again: bool,
+) {
+    let mut story = story(kind);
+    story.settle_in(usual);
+    story.pass(5_000);
+    let id = story.scan(2);
+    let (late, other) = (story.out(id)[0], story.out(id)[1]);
+    story.pass(usual);
+    story.land(other, Landing::Honoured);
+    story.pass(after - usual);
+    assert_eq!(story.host.called_off.contains(&late.ticket), again);
+    assert_eq!(story.host.hung_up.contains(&late.to), again, "its connection is trusted no more");
+    if again {
+        story.land(late, Landing::CalledOff);
+        let next = story.out(id);
+        assert_eq!((next.len(), next[0].part), (1, late.part));
+        assert_ne!(next[0].to, late.to);
+        story.land_all(id, Landing::Honoured);
+        assert_eq!(story.host.ending(id), Some(Ending::Whole));
+    }
+}
+
 #[test]
 fn between_replicas_that_are_alike_the_part_stays_where_crossing_has_no_price() {
     let mut story = story(whole_only());
