A late part that others went past reads as a failure, not as its searcher's latency

Seen: wide+reset+stale from 5 to 15 s, 18 of 100 scans bounced at the door. A probe there: the five searchers that leave an eighth of their parts unanswered answer the rest in 10 ms, yet stood at 40 to 450 ms with limits of 3 to 8, and the one sound replica of their cells at 40 ms, past its limit, with twice the parts it can do. Line: Roster::note_landed smoothed the whole wait for a lost part in, for half of what is known. Now a late part that one sent after it came back before, after eight times that searcher's own latency, counts among its failures only, which the choice of replica reads as before.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -116,8 +116,9 @@
     limit: f64,
     /// When the relays left that are out; emptied as they land.
     out: Vec<Moment>,
-    /// When a relay last told anything, when one last brought anything back, when one was last sent.
+    /// When a relay last told anything, or brought anything back; when one last left, and one that came back.
     heard: Moment,
+    passed: Moment,
     stood: Moment,
     sent: Moment,
     /// Where parts are sent by turns: the share of a turn to wait from the last.
@@ -288,11 +289,10 @@
     }
 
     /// Whether the replicas of a shard have room under their limits for so many parts; where none is up, that
-    /// is not for the door to say. Scans of little worth may fill less, at slow replicas the least: seven and
-    /// three tenths lost nowhere. One too slow for the time left has none (hurried clients, jammed shards);
-    /// the slowest of a few takes half as long again. Where mixers are many, little worth counts on less of
-    /// its time. Hurts where latencies lag a recovery: one part at a time is let in, by turns of the fleet,
-    /// six times rarer where half of all parts are lost.
+    /// is not for the door to say. Little worth may fill less, at slow replicas the least: seven and three
+    /// tenths lost nowhere. Who is too slow for the time left has none (hurried clients, jammed shards); the
+    /// slowest of a few takes half as long again. Where mixers are many, little worth counts on less time. As
+    /// latencies lag a recovery, one part at a time is let in by turns, six times rarer where half are lost.
     fn room(&self, now: Moment, left: Span, shard: u32, worth: f64, parts: usize) -> bool {
         let left = left.as_f64() * (0.5 + 0.5 * worth).max(4.0 / self.cold.fleet).min(1.0);
         let rarer = 1.0 + 20.0 * self.lost * self.lost;
@@ -333,6 +333,9 @@
         let in_vain = longer && matches!(how, Landing::Silent | Landing::CalledOff);
         let lost = in_vain || how == Landing::Dropped;
         seat.stood = if back { now } else { seat.stood };
+        seat.passed = if back { seat.passed.max(leg.left) } else { seat.passed };
+        // What others went past, and quickly, is lost by itself: its searcher is not slow for it.
+        let alone = in_vain && seat.passed > leg.left && took > 8.0 * seat.latency.unwrap_or(average);
         // It answers what was sent after the loss, and has not started since: its connection broke, no more.
         let lives = |at: &Moment| back && leg.left > *at && seat.fresh.is_none_or(|(since, _)| since < *at);
         seat.lost = seat.lost.filter(|at| !lives(at));
@@ -355,8 +358,7 @@
                 self.shortest = (self.shortest * 1.0005).min(self.typical);
             }
             Landing::TurnedAway => self.learn(now, from, kind, Some(leg.sort.1.as_f64()), true),
-            Landing::Erred | Landing::Dropped => self.learn(now, from, kind, None, true),
-            _ if in_vain => self.learn(now, from, kind, Some(took), true),
+            _ if lost || back => self.learn(now, from, kind, Some(took).filter(|_| in_vain && !alone), true),
             _ => {}
         }
         died
@@ -698,8 +700,7 @@
         if honoured > 0.0 && (whole || honoured + SLACK >= floor) {
             host.answer(id, whole, last);
             if !last {
-                scan.first = scan.parts.len();
-                scan.first_whole = Some(whole);
+                (scan.first, scan.first_whole) = (scan.parts.len(), Some(whole));
                 self.scans.insert(id, scan);
             }
         } else if kind.effect == Effect::Redoable && !kills || never_ran {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -449,6 +449,29 @@
     }
 }
 
+/// One part in eight lost at some searchers once made them look slow, and the door turned scans away.
+#[test_case(true, true; "others went past them")]
+#[test_case(false, false; "all is slow there")]
+fn parts_lost_alone_do_not_make_their_searcher_look_slow(passed: bool, taken: bool) {
+    let mut story = story(whole_only());
+    story.settle_in(5);
+    for _ in 0..3 {
+        let lost = story.scan(3);
+        story.pass(5);
+        let other = story.scan(3);
+        story.pass(5);
+        if passed {
+            story.land_all(other, Landing::Honoured);
+        }
+        story.pass(500);
+        story.land_all(other, Landing::CalledOff);
+        story.land_all(lost, Landing::CalledOff);
+        story.land_all(lost, Landing::Honoured);
+    }
+    let hurried = story.scan_weighing(&[1.0], 200, false);
+    assert_eq!(story.host.ending(hurried).is_none(), taken);
+}
+
 #[test]
 fn between_replicas_that_are_alike_the_part_stays_where_crossing_has_no_price() {
     let mut story = story(whole_only());
