Spoilt answers are errors of their own: odd reports are read, unknown ids end their link

Lines: frames::part wanted the whole frame as text and exactly four words, so that an odd report would have spoilt a good answer; State::part_back passed over every id that was not out, so that a part whose answer came under another id waited for the timer; Ending::landing called a spoilt answer a dropped connection, from which the module reads a death. Now the report may be anything up to the line's end; a link remembers the last 64 ids it gave up, and an answer to none of these and none that is out ends it, as it can't be told whose answer it spoilt; Garbled and Objected land as errors.

--- a/crates/mixer/src/program/links.rs
+++ b/crates/mixer/src/program/links.rs
@@ -82,7 +82,7 @@
             }
             Ok(None) => return ControlFlow::Continue(()),
             Err(what) => {
-                log::warn!("a searcher's frame can't be read: {what}");
+                log::debug!("a searcher's frame can't be read: {what}");
                 return ControlFlow::Break(Ending::Garbled);
             }
         };
--- a/crates/mixer/src/protocol/frames.rs
+++ b/crates/mixer/src/protocol/frames.rs
@@ -49,31 +49,38 @@
         return Err("a frame's length is out of bounds");
     }
     let Some((letter, body)) = rest.get(..length).and_then(<[u8]>::split_first) else { return Ok(None) };
-    let body = std::str::from_utf8(body).map_err(|_| "a frame is not text")?;
     let frame = match letter {
         b'q' => part(body)?,
         b'o' => Frame::Check(match body {
-            "good" => true,
-            "bad" => false,
+            b"good" => true,
+            b"bad" => false,
             _ => return Err("a check's answer is unknown"),
         }),
         b'p' => Frame::Report,
-        b'r' => Frame::Objection(body.chars().take(200).collect()),
+        b'r' => Frame::Objection(String::from_utf8_lossy(body).chars().take(200).collect()),
         _ => return Err("a frame's letter is unknown"),
     };
     Ok(Some((frame, 4 + length)))
 }
 
-fn part(body: &str) -> Result<Frame, &'static str> {
-    let (line, value) = body.split_once('\n').ok_or("a part's line has no end")?;
-    let words: Vec<&str> = line.split(' ').collect();
-    let [id, end, _score, _report] = words[..] else { return Err("a part's line has not four words") };
+/// The report, up to the line's end, may be anything: nothing here goes by it.
+fn part(body: &[u8]) -> Result<Frame, &'static str> {
+    let end = body.iter().position(|byte| *byte == b'\n').ok_or("a part's line has no end")?;
+    let (line, value) = (&body[..end], &body[end + 1..]);
+    let mut words = line.splitn(4, |byte| *byte == b' ').map(std::str::from_utf8);
+    let mut word = || words.next().and_then(Result::ok).filter(|word| !word.is_empty());
+    let (id, end, score) = (word(), word(), word());
+    let id = id.ok_or("a part's line has no id")?;
     let end = match end {
-        "good" => PartEnd::Honoured,
-        "bad" => PartEnd::Erred,
-        "later" => PartEnd::TurnedAway,
+        Some("good") => PartEnd::Honoured,
+        Some("bad") => PartEnd::Erred,
+        Some("later") => PartEnd::TurnedAway,
         _ => return Err("a part's end is unknown"),
     };
+    if end == PartEnd::Honoured && !score.is_some_and(|score| score.bytes().all(|b| b.is_ascii_digit())) {
+        return Err("a part's score is no number");
+    }
+    let value = std::str::from_utf8(value).map_err(|_| "a value is not text")?;
     Ok(Frame::Part { id: id.into(), end, value: value.into() })
 }
 
@@ -129,6 +136,8 @@
     }
 
     #[test_case(b'q', "a.3 good 1840277719 -\n5be2\n x", ended(PartEnd::Honoured, "5be2\n x"); "honoured")]
+    #[test_case(b'q', "a.3 good 7 \u{1}\u{ff} x  y \n5be2", ended(PartEnd::Honoured, "5be2"); "an odd report")]
+    #[test_case(b'q', "a.3 good 7 \n5be2", ended(PartEnd::Honoured, "5be2"); "an empty report")]
     #[test_case(b'q', "a.3 bad 0 -\n", ended(PartEnd::Erred, ""); "erred")]
     #[test_case(b'q', "a.3 later 0 q=2\n", ended(PartEnd::TurnedAway, ""); "turned away")]
     #[test_case(b'o', "good", Frame::Check(true); "there")]
@@ -147,10 +156,13 @@
     #[test_case(&[0, 2, 0, 0, b'q'], "out of bounds"; "over long, before it has come")]
     #[test_case(&said(b'z', ""), "letter"; "unknown letter")]
     #[test_case(&said(b'q', "a good 1 -"), "no end"; "no line feed")]
-    #[test_case(&said(b'q', "a good 1\n"), "four words"; "three words")]
+    #[test_case(&said(b'q', "a good\n"), "score"; "two words")]
+    #[test_case(&said(b'q', " good 1 -\n"), "no id"; "no id")]
+    #[test_case(&said(b'q', "a good ? -\n"), "score"; "an odd score")]
+    #[test_case(&said(b'q', "a  1 -\n"), "end is unknown"; "no end word")]
     #[test_case(&said(b'q', "a fine 1 -\n"), "end is unknown"; "unknown end")]
     #[test_case(&said(b'o', "maybe"), "check"; "unknown answer to a check")]
-    #[test_case(&[0, 0, 0, 2, b'q', 0xff], "not text"; "not text")]
+    #[test_case(&[0, 0, 0, 13, b'q', b'a', b' ', b'g', b'o', b'o', b'd', b' ', b'1', b' ', b'-', b'\n', 0xff], "not text")]
     fn what_is_malformed_is_told(bytes: &[u8], says: &str) {
         assert!(next(bytes).is_err_and(|what| what.contains(says)));
     }
--- a/crates/mixer/src/routing/desk.rs
+++ b/crates/mixer/src/routing/desk.rs
@@ -78,6 +78,7 @@
         // Waited for until its time was up: where nothing has come meanwhile, nothing new goes that way.
         link.mute |= call.stand == Stand::Out && self.now >= relay.due && call.left > link.heard;
         match call.stand {
+            Stand::Held if call.parts.is_empty() => drop(link.calls.remove(&call_id)),
             Stand::Held => {}
             Stand::Handed | Stand::Recalled => {
                 call.given_up.push(id);
@@ -87,14 +88,23 @@
                 }
                 return;
             }
-            Stand::Out if self.may_call_off => self.effects.push(Effect::GiveUp { link: link_id, id }),
-            Stand::Out => {}
+            Stand::Out => {
+                if call.parts.is_empty() {
+                    link.calls.remove(&call_id);
+                }
+                self.tell_given_up(link_id, id);
+            }
         }
-        if call.parts.is_empty() {
-            link.calls.remove(&call_id);
+        self.let_go(|_, link| link.mute);
+    }
+
+    /// What was written and is waited for no more: its answer may yet come.
+    fn tell_given_up(&mut self, link_id: LinkId, id: String) {
+        if self.may_call_off {
+            self.effects.push(Effect::GiveUp { link: link_id, id: id.clone() });
         }
-        if link.mute {
-            self.let_go(|_, link| link.mute);
+        if let Some(link) = self.pool.links.get_mut(&link_id) {
+            link.give_up(id);
         }
     }
 
@@ -141,11 +151,11 @@
         let Some(link) = self.pool.links.get_mut(&link_id) else { return };
         let Some(call) = link.calls.get_mut(&call_id) else { return };
         (call.stand, call.left) = (Stand::Out, self.now);
-        let given_up = std::mem::take(&mut call.given_up).into_iter().filter(|_| self.may_call_off);
+        let given_up = std::mem::take(&mut call.given_up);
         if call.parts.is_empty() {
             link.calls.remove(&call_id);
         }
-        self.effects.extend(given_up.map(|id| Effect::GiveUp { link: link_id, id }));
+        given_up.into_iter().for_each(|id| self.tell_given_up(link_id, id));
     }
 
     /// A call was taken back: its parts that are still wanted go out anew, unless their searcher has left.
--- a/crates/mixer/src/routing/ending.rs
+++ b/crates/mixer/src/routing/ending.rs
@@ -18,7 +18,7 @@
     Ended,
     /// It broke.
     Broke,
-    /// What came over it can't be read.
+    /// What came over it can't be read, or belongs to nobody.
     Garbled,
     /// The searcher could not use what we sent, and said so.
     Objected,
@@ -36,10 +36,9 @@
             (Ending::Refused | Ending::NeverUp | Ending::NoWay, _) | (_, false) => Landing::Unreached,
             (Ending::HungUp, true) => Landing::CalledOff,
             (Ending::Stuck, true) => Landing::Silent,
-            (
-                Ending::ClosedIdle | Ending::Ended | Ending::Broke | Ending::Garbled | Ending::Objected,
-                true,
-            ) => Landing::Dropped,
+            // It is there, and talks: a failed part that may have run, and no connection that dropped.
+            (Ending::Garbled | Ending::Objected, true) => Landing::Erred,
+            (Ending::ClosedIdle | Ending::Ended | Ending::Broke, true) => Landing::Dropped,
         }
     }
 }
--- a/crates/mixer/src/routing/pool.rs
+++ b/crates/mixer/src/routing/pool.rs
@@ -2,7 +2,7 @@
 
 use super::{CallId, LinkId};
 use fernglade::{Moment, Searcher, Ticket};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 /// Where a call stands.
@@ -40,9 +40,27 @@
     pub amid: Option<Moment>,
     /// A part was waited for over it until its time was up, and nothing came all the while.
     pub mute: bool,
+    /// Ids of parts that were given up and may yet be answered, the latest.
+    given_up: VecDeque<String>,
 }
 
+/// Twice what a link of our deployments carries at once; parts that are lost for good push each other out.
+const MOST_GIVEN_UP: usize = 64;
+
 impl Link {
+    pub fn give_up(&mut self, id: String) {
+        if self.given_up.len() == MOST_GIVEN_UP {
+            self.given_up.pop_front();
+        }
+        self.given_up.push_back(id);
+    }
+
+    /// Whether it was waited for here once; its answer is passed over, once.
+    pub fn gave_up(&mut self, id: &str) -> bool {
+        let at = self.given_up.iter().position(|other| other == id);
+        at.and_then(|at| self.given_up.remove(at)).is_some()
+    }
+
     pub fn is_idle(&self) -> bool {
         self.calls.is_empty() && !self.checking
     }
@@ -103,8 +121,17 @@
             return None;
         }
         let id = LinkId(self.number());
-        let (calls, heard) = (BTreeMap::new(), Moment::default());
-        let link = Link { to, address, up: false, calls, checking: false, heard, amid: None, mute: false };
+        let link = Link {
+            to,
+            address,
+            up: false,
+            calls: BTreeMap::new(),
+            checking: false,
+            heard: Moment::default(),
+            amid: None,
+            mute: false,
+            given_up: VecDeque::new(),
+        };
         self.links.insert(id, link);
         Some(id)
     }
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -173,12 +173,16 @@
     }
 
     fn part_back(&mut self, link_id: LinkId, id: &str, end: PartEnd, value: String) {
-        if let Some(link) = self.desk.pool.links.get_mut(&link_id) {
-            link.heard(self.desk.now);
-        }
-        // Late, given up or never asked for: passed over.
-        let Some((call_id, ticket)) = self.desk.find(link_id, id) else { return };
+        let found = self.desk.find(link_id, id);
         let Some(link) = self.desk.pool.links.get_mut(&link_id) else { return };
+        link.heard(self.desk.now);
+        let Some((call_id, ticket)) = found else {
+            // Late, and passed over; or of nobody, and whose answer it spoilt can't be told.
+            if !link.gave_up(id) {
+                self.end_garbled(link_id);
+            }
+            return;
+        };
         if let Some(call) = link.calls.get_mut(&call_id) {
             call.parts.retain(|other| *other != ticket);
             if call.parts.is_empty() {
@@ -230,11 +234,15 @@
 
     fn half_said(&mut self, id: LinkId, since: Moment) {
         if self.desk.pool.links.get(&id).is_some_and(|link| link.amid == Some(since)) {
-            self.link_ended(id, Ending::Garbled);
-            self.desk.effects.push(Effect::Cut(id));
+            self.end_garbled(id);
         }
     }
 
+    fn end_garbled(&mut self, id: LinkId) {
+        self.link_ended(id, Ending::Garbled);
+        self.desk.effects.push(Effect::Cut(id));
+    }
+
     fn link_ended(&mut self, id: LinkId, ending: Ending) {
         let Some(link) = self.desk.pool.links.remove(&id) else { return };
         let idle = ending == Ending::Ended && link.is_idle();
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -194,8 +194,8 @@
 #[test_case(Ending::ClosedIdle, true, Landing::Dropped)]
 #[test_case(Ending::Broke, true, Landing::Dropped)]
 #[test_case(Ending::Broke, false, Landing::Unreached)]
-#[test_case(Ending::Garbled, true, Landing::Dropped)]
-#[test_case(Ending::Objected, true, Landing::Dropped)]
+#[test_case(Ending::Garbled, true, Landing::Erred; "it talks, so it has not died")]
+#[test_case(Ending::Objected, true, Landing::Erred)]
 #[test_case(Ending::Stuck, true, Landing::Silent)]
 #[test_case(Ending::Stuck, false, Landing::Unsent)]
 #[test_case(Ending::HungUp, true, Landing::CalledOff)]
@@ -250,13 +250,11 @@
 }
 
 #[test]
-fn late_and_unknown_answers_are_passed_over() {
+fn late_answers_are_passed_over() {
     let mut play = play(1);
     let client = play.ask(ask("a", "look", &[0, 1]));
     let link = play.send()[0].link;
-    play.back(link, "b.0", PartEnd::Honoured, "never asked");
     play.back(link, "a.0", PartEnd::Honoured, "v0");
-    play.back(link, "a.0", PartEnd::Honoured, "twice");
     assert!(play.replies().is_empty());
     play.pass(2_000);
     assert_eq!(play.replies().len(), 1, "ended by its one timer");
@@ -269,6 +267,38 @@
     play.feed(Event::ClientGone(client));
 }
 
+/// An answer under another id once left its part waiting for the timer.
+#[test_case("b.0"; "never asked for")]
+#[test_case("a.1"; "answered before")]
+fn an_answer_that_belongs_to_nobody_fails_what_waits_on_its_link(id: &str) {
+    let mut play = play(2);
+    let client = play.ask(ask("a", "look", &[0, 1, 2]));
+    let handed = play.send();
+    let link = handed[0].link;
+    let here: Vec<_> = handed.iter().filter(|h| h.link == link).map(|h| h.errands[0].id.clone()).collect();
+    play.back(handed.iter().find(|h| h.errands[0].id == "a.1").unwrap().link, "a.1", PartEnd::Honoured, "v");
+    play.back(link, id, PartEnd::Honoured, "of whom?");
+    assert!(play.did(&Effect::Cut(link)));
+    let again: Vec<_> = play.send().into_iter().map(|h| h.errands[0].id.clone()).collect();
+    assert!(again.iter().all(|id| id != "a.1" && here.contains(id)) && !again.is_empty(), "{again:?}");
+    play.ask(ask("c", "look", &[4, 5, 6, 7]));
+    assert_eq!(play.send().len(), 4, "nobody has died: no part goes ahead of the others");
+    play.feed(Event::ClientGone(client));
+}
+
+#[test]
+fn what_follows_a_good_answer_ends_the_link_and_harms_nobody() {
+    let mut play = play(1);
+    play.ask(ask("a", "look", &[0]));
+    let link = play.send()[0].link;
+    play.back(link, "a.0", PartEnd::Honoured, "v");
+    play.back(link, "a.0", PartEnd::Honoured, "v");
+    assert!(matches!(play.replies()[..], [(_, Reply::Answer { whole: true, .. }, _)]));
+    assert!(play.did(&Effect::Cut(link)));
+    play.ask(ask("b", "look", &[0]));
+    assert_ne!(play.send()[0].link, link);
+}
+
 #[test]
 fn a_link_that_stayed_mute_while_a_part_was_waited_for_gets_no_more() {
     let mut play = play(1);
