Searchers that have left the list are forgotten; a number is never given twice

Lines: ids.rs, roll.rs, choice.rs listed() grew a vector by number; nothing emptied it. Now numbers are maps that let go of whom the list has dropped; the module keeps a seat until what it owes has landed. As no number comes twice, a late landing, timer or check for one that has gone finds nobody. What drops at a searcher that is known to be gone or draining is no death, and is not learnt from. A scan over limits.max_open is still told by the front, which counts, but turned away by the module (Mixer::turn_away), with its time to return: it had a pause of zero.

--- a/crates/fronts/src/ids.rs
+++ b/crates/fronts/src/ids.rs
@@ -51,15 +51,16 @@
     }
 }
 
-/// Searchers, numbered in the order in which they were first named. Grows with searchers ever named.
+/// Searchers by name, as long as they are kept. A number is never given twice.
 pub struct Numbers<K> {
     numbers: BTreeMap<K, Searcher>,
-    names: Vec<K>,
+    names: BTreeMap<Searcher, K>,
+    given: u32,
 }
 
 impl<K> Default for Numbers<K> {
     fn default() -> Self {
-        Self { numbers: BTreeMap::new(), names: Vec::new() }
+        Self { numbers: BTreeMap::new(), names: BTreeMap::new(), given: 0 }
     }
 }
 
@@ -68,8 +69,9 @@
         if let Some(known) = self.numbers.get(name) {
             return *known;
         }
-        let new = Searcher(self.names.len() as u32);
-        self.names.push(name.clone());
+        let new = Searcher(self.given);
+        self.given += 1;
+        self.names.insert(new, name.clone());
         self.numbers.insert(name.clone(), new);
         new
     }
@@ -78,8 +80,14 @@
         self.numbers.get(name).copied()
     }
 
-    pub fn name(&self, searcher: Searcher) -> &K {
-        &self.names[searcher.0 as usize]
+    pub fn name(&self, searcher: Searcher) -> Option<&K> {
+        self.names.get(&searcher)
+    }
+
+    /// Lets go of all but these; one that comes back gets a new number.
+    pub fn keep(&mut self, keep: impl Fn(&K) -> bool) {
+        self.numbers.retain(|name, _| keep(name));
+        self.names.retain(|_, name| keep(name));
     }
 }
 
@@ -98,12 +106,15 @@
     }
 
     #[test]
-    fn searchers_are_numbered_as_they_are_first_named() {
+    fn searchers_are_numbered_as_they_are_first_named_and_no_number_is_given_twice() {
         let mut numbers = Numbers::default();
         assert_eq!(
             (numbers.number(&"x"), numbers.number(&"y"), numbers.number(&"x")),
             (Searcher(0), Searcher(1), Searcher(0))
         );
-        assert_eq!((numbers.name(Searcher(1)), numbers.known(&"z")), (&"y", None));
+        assert_eq!((numbers.name(Searcher(1)), numbers.known(&"z")), (Some(&"y"), None));
+        numbers.keep(|name| *name != "x");
+        assert_eq!((numbers.known(&"x"), numbers.name(Searcher(0))), (None, None));
+        assert_eq!((numbers.number(&"x"), numbers.known(&"y")), (Searcher(2), Some(Searcher(1))));
     }
 }
--- a/crates/mixer/src/protocol/lists.rs
+++ b/crates/mixer/src/protocol/lists.rs
@@ -12,6 +12,8 @@
     pub zone: String,
     pub cell: u32,
     pub ready: bool,
+    /// Off the list.
+    pub gone: bool,
     /// In Unix time.
     pub started: Option<Moment>,
 }
@@ -48,6 +50,7 @@
         cell: cell.ok_or("no cell")?,
         // Draining, gone and whatever else: it wants nothing new.
         ready: text("lifecycle")? == "SERVING",
+        gone: text("lifecycle")? == "DELETED",
         started: started.map(|at| Moment::at_micros(at.saturating_mul(1000))),
     })
 }
@@ -80,7 +83,8 @@
         let row = &news.rows[0];
         assert_eq!((row.name.as_str(), row.cell, row.ready, row.started), ("s-5be2a07c", 3, true, None));
         for word in ["DRAINING", "DELETED", "NOVEL"] {
-            assert!(!read(&PAGE.replace("SERVING", word)).unwrap().rows[0].ready);
+            let row = &read(&PAGE.replace("SERVING", word)).unwrap().rows[0];
+            assert_eq!((row.ready, row.gone), (false, word == "DELETED"));
         }
         let started = read(&PAGE.replace("Ms\":0", "Ms\":1764598377123")).unwrap().rows[0].started;
         assert_eq!(started, Some(Moment::at_micros(1_764_598_377_123_000)));
--- a/crates/mixer/src/routing/alarms.rs
+++ b/crates/mixer/src/routing/alarms.rs
@@ -38,6 +38,11 @@
         Some(first.remove())
     }
 
+    #[cfg(test)]
+    pub fn len(&self) -> usize {
+        self.due.len()
+    }
+
     /// The time to be woken at, where it is another than was told before.
     pub fn changed(&mut self) -> Option<Moment> {
         let first = self.due.first_key_value().map(|((at, _), _)| *at);
--- a/crates/mixer/src/routing/roll.rs
+++ b/crates/mixer/src/routing/roll.rs
@@ -4,13 +4,14 @@
 use crate::protocol::lists::{News, Row};
 use fernglade::{Listing, Searcher};
 use fernglade_fronts::Numbers;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-/// Grows with searchers ever listed.
+/// Holds those on the list and no others.
 #[derive(Default)]
 pub struct Roll {
     numbers: Numbers<String>,
-    lines: Vec<Option<Line>>,
+    lines: BTreeMap<Searcher, Line>,
     /// Where discovery is; nowhere until it is told.
     discovery: Option<SocketAddr>,
     /// What the next watch goes on from; none where the whole list is to be had first.
@@ -40,34 +41,46 @@
     pub fn take(&mut self, news: &News) -> Vec<Listing> {
         let back = !news.whole && self.version.is_some_and(|version| news.version < version);
         self.version = (!back).then_some(news.version);
+        let named: BTreeSet<&String> = news.rows.iter().map(|row| &row.name).collect();
         if news.whole {
-            self.lines.iter_mut().flatten().for_each(|line| line.ready = false);
+            self.keep(|name| named.contains(name));
         }
-        news.rows.iter().map(|row| self.list(row)).collect()
+        let listings = news.rows.iter().map(|row| self.list(row)).collect();
+        let gone: BTreeSet<&String> = news.rows.iter().filter(|row| row.gone).map(|row| &row.name).collect();
+        self.keep(|name| !gone.contains(name));
+        listings
+    }
+
+    fn keep(&mut self, keep: impl Fn(&String) -> bool) {
+        self.numbers.keep(keep);
+        self.lines.retain(|searcher, _| self.numbers.name(*searcher).is_some());
     }
 
     fn list(&mut self, row: &Row) -> Listing {
         let searcher = self.numbers.number(&row.name);
-        let count = self.lines.len().max(searcher.0 as usize + 1);
-        self.lines.resize_with(count, || None);
-        self.lines[searcher.0 as usize] = Some(Line { address: row.address, ready: row.ready });
+        self.lines.insert(searcher, Line { address: row.address, ready: row.ready });
         let dear = self.dear_outside.as_ref().is_some_and(|home| *home != row.zone);
         Listing { searcher, cell: row.cell, ready: row.ready, started: row.started, dear }
     }
 
     pub fn address(&self, searcher: Searcher) -> Option<SocketAddr> {
-        self.lines.get(searcher.0 as usize)?.as_ref().map(|line| line.address)
+        self.lines.get(&searcher).map(|line| line.address)
     }
 
     pub fn is_ready(&self, searcher: Searcher) -> bool {
-        self.lines.get(searcher.0 as usize).is_some_and(|line| line.as_ref().is_some_and(|l| l.ready))
+        self.lines.get(&searcher).is_some_and(|line| line.ready)
     }
 
-    pub fn name(&self, searcher: Searcher) -> String {
-        self.numbers.name(searcher).clone()
+    pub fn name(&self, searcher: Searcher) -> Option<&String> {
+        self.numbers.name(searcher)
     }
 
     pub fn any_ready(&self) -> bool {
-        self.lines.iter().flatten().any(|line| line.ready)
+        self.lines.values().any(|line| line.ready)
+    }
+
+    #[cfg(test)]
+    pub fn len(&self) -> usize {
+        self.lines.len()
     }
 }
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -112,10 +112,6 @@
             Ok(scan) => scan,
             Err(blame) => return self.desk.reply(client, Reply::Refusal(blame), false),
         };
-        // The bench turns such scans away before they reach a mixer; here they come this far.
-        if self.desk.held + 1 + scan.parts.len() > self.most_held {
-            return self.desk.reply(client, Reply::Bounce(Span::ZERO), false);
-        }
         let parts: Vec<_> = ask.parts.iter().map(|part| (part.shard, None)).collect();
         self.desk.held += 1 + parts.len();
         let open =
@@ -123,6 +119,10 @@
         let id = self.desk.scans.open(open);
         self.desk.names.insert(ask.name);
         self.desk.clients.set(client, Doing::Waiting(id));
+        // The bench turns such scans away before they reach a mixer; here they come this far.
+        if self.desk.held > self.most_held {
+            return self.mixer.turn_away(&mut self.desk, id);
+        }
         self.mixer.taken(&mut self.desk, id, scan);
     }
 
@@ -247,7 +247,7 @@
         let Some(link) = self.desk.pool.links.remove(&id) else { return };
         let idle = ending == Ending::Ended && link.is_idle();
         let ending = if idle { Ending::ClosedIdle } else { ending };
-        let to = self.desk.roll.name(link.to);
+        let to = self.desk.roll.name(link.to).cloned().unwrap_or_else(|| link.address.to_string());
         self.desk.effects.push(Effect::Note { to, ending });
         for call in link.calls.into_values() {
             let how = ending.landing(call.stand == Stand::Out);
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -41,7 +41,7 @@
 
 fn row(number: u16, ready: bool) -> Row {
     let address = ([127, 0, 0, 1], 9000 + number).into();
-    Row { name: format!("s{number}"), address, zone: "a".into(), cell: 0, ready, started: None }
+    Row { name: format!("s{number}"), address, zone: "a".into(), cell: 0, ready, gone: false, started: None }
 }
 
 fn news(version: u64, whole: bool, rows: Vec<Row>) -> News {
@@ -502,6 +502,31 @@
     assert!(play.did(&Effect::Watch { at, after: Some(2) }), "and watched from there");
 }
 
+#[test]
+fn searchers_that_come_and_go_all_day_leave_nothing_behind() {
+    let mut play = play(1);
+    let mut before = 0;
+    for number in 1..200 {
+        let gone = Row { gone: true, ..row(number - 1, false) };
+        let changes = if number % 10 == 0 {
+            news(5 + u64::from(number), true, vec![row(number, true)])
+        } else {
+            news(5 + u64::from(number), false, vec![row(number, true), gone])
+        };
+        play.feed(Event::Told(changes));
+        let client = play.ask(ask(&format!("r{number}"), "look", &[0]));
+        let handed = play.send().pop().expect("the new one is asked");
+        play.back(handed.link, &handed.errands[0].id, PartEnd::Honoured, "v");
+        play.feed(Event::ClientGone(client));
+        play.pass(50);
+        let desk = play.state.desk();
+        assert!(desk.roll.len() == 1 && desk.pool.links.len() <= 2, "{} links", desk.pool.links.len());
+        before = before.max(desk.alarms.len());
+        play.effects.clear();
+    }
+    assert!(before < 200, "{before} alarms");
+}
+
 fn wrong(what: &str) -> Blame {
     Blame::Request(what.into())
 }
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -4,7 +4,7 @@
 use fernglade::choice::Mixer;
 use fernglade::{Host, Landing, Listing, Moment, PartTaken, ScanId, ScanTaken, Searcher, Span, Ticket};
 use fernglade_fronts::{Numbers, Readings, Slots};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 /// A line of a numbered list, as it was sent.
 #[derive(Clone, Copy)]
@@ -63,8 +63,8 @@
         self.open.get(id).map(|held| held.corr.to_be_bytes())
     }
 
-    fn wire_id(&self, searcher: Searcher) -> [u8; 4] {
-        self.searchers.name(searcher).to_be_bytes()
+    fn wire_id(&self, searcher: Searcher) -> Option<[u8; 4]> {
+        self.searchers.name(searcher).map(|id| id.to_be_bytes())
     }
 }
 
@@ -84,13 +84,13 @@
     }
 
     fn relay(&mut self, ticket: Ticket, scan: ScanId, part: usize, to: Searcher, patience: Span) {
+        let Some(to) = self.books.wire_id(to) else { return };
         let Some(held) = self.books.open.get_mut(scan) else { return };
         let (corr, sent) = &mut held.parts[part];
         let relay = (*corr, *sent);
         *sent += 1;
         self.books.relays.insert(relay, ticket);
         self.books.tickets.insert(ticket, relay);
-        let to = self.books.wire_id(to);
         self.act(16, &[&relay.0.to_be_bytes(), &to, &short(patience)]);
     }
 
@@ -126,13 +126,15 @@
     }
 
     fn check(&mut self, searcher: Searcher) {
-        let wire_id = self.books.wire_id(searcher);
-        self.act(21, &[&wire_id]);
+        if let Some(wire_id) = self.books.wire_id(searcher) {
+            self.act(21, &[&wire_id]);
+        }
     }
 
     fn hang_up(&mut self, searcher: Searcher) {
-        let wire_id = self.books.wire_id(searcher);
-        self.act(22, &[&wire_id]);
+        if let Some(wire_id) = self.books.wire_id(searcher) {
+            self.act(22, &[&wire_id]);
+        }
     }
 
     fn watch_list(&mut self) {
@@ -148,6 +150,9 @@
     parts: Vec<PartTaken>,
 }
 
+/// The status of a searcher that has left the list.
+const GONE: u8 = 3;
+
 pub struct Instance {
     mixer: Mixer,
     books: Books,
@@ -232,6 +237,10 @@
         };
         let listings: Vec<Listing> = entries.iter().map(listing).collect();
         self.with(now, reply, |mixer, host| mixer.listed(host, how != 0, &listings));
+        let (gone, here): (Vec<&Entry>, Vec<&Entry>) = entries.iter().partition(|entry| entry.status == GONE);
+        let ids = |entries: Vec<&Entry>| entries.iter().map(|entry| entry.wire_id).collect::<BTreeSet<u32>>();
+        let (gone, here) = (ids(gone), ids(here));
+        self.books.searchers.keep(|id| if how != 0 { here.contains(id) } else { !gone.contains(id) });
     }
 
     pub fn result(&mut self, fields: &[u8], now: Moment, reply: &mut Reply) -> Result<(), Malformed> {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -18,7 +18,7 @@
 
 use crate::*;
 use slab::Slab;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::mem::{replace, take};
 
 /// What to do with a result, left behind by the step that asked for it.
@@ -156,10 +156,11 @@
 /// How often a searcher that is down is checked: the design page's figure.
 const CHECK_EVERY: Span = Span::of_millis(5_000);
 
-/// The searchers and what this mixer has seen of them. Grows with searchers ever listed, not with scans.
+/// The searchers and what this mixer has seen of them.
 #[derive(Default)]
 pub struct Roster {
-    seats: Vec<Seat>,
+    /// Who is listed; who is not any more goes with the next news, once all it owes has landed.
+    seats: BTreeMap<Searcher, Seat>,
     /// The sum of the latencies known, and their number.
     known: (f64, f64),
     cells: u32,
@@ -185,16 +186,13 @@
         Self { cells, width, per_call, may_check, cold, chance, ..Self::default() }
     }
 
-    fn seat(&mut self, searcher: Searcher) -> &mut Seat {
-        &mut self.seats[searcher.0 as usize]
-    }
-
     fn average(&self) -> f64 {
         (self.known.0 + self.typical) / (self.known.1 + 1.0)
     }
 
     fn set_latency(&mut self, searcher: Searcher, latency: Option<f64>) {
-        let old = replace(&mut self.seat(searcher).latency, latency);
+        let Some(seat) = self.seats.get_mut(&searcher) else { return };
+        let old = replace(&mut seat.latency, latency);
         let (sum, number) = &mut self.known;
         old.iter().for_each(|old| (*sum, *number) = (*sum - old, *number - 1.0));
         latency.iter().for_each(|new| (*sum, *number) = (*sum + new, *number + 1.0));
@@ -202,9 +200,12 @@
 
     /// Lists a searcher, or takes it off; what was known of one that is gone holds no more.
     fn set_home(&mut self, told: Listing) -> Listing {
-        let before = replace(&mut self.seat(told.searcher).told, told);
+        // A dozen for all mixers together, some for each core of a usual machine; three for each mixer.
+        let limit = (12.0 / self.cold.fleet).max(3.0);
+        let seat = self.seats.entry(told.searcher).or_insert_with(|| Seat { limit, ..Seat::default() });
+        let before = replace(&mut seat.told, told);
         if !told.ready {
-            self.seat(told.searcher).down = None;
+            seat.down = None;
             self.set_latency(told.searcher, None);
         }
         before
@@ -214,14 +215,14 @@
         let offset = move |cell: u32| (cell + self.cells - shard % self.cells) % self.cells;
         let holds =
             move |told: &&Listing| told.ready && told.cell < self.cells && offset(told.cell) < self.width;
-        self.seats.iter().map(|seat| &seat.told).filter(holds).map(|told| told.searcher)
+        self.seats.values().map(|seat| &seat.told).filter(holds).map(|told| told.searcher)
     }
 
     /// It has started anew: what was known of it holds no more. Its first turn comes by chance.
     fn renew(&mut self, now: Moment, searcher: Searcher, since: Moment) {
         let turn = self.chance.below(1 << 20) as f64 / f64::from(1 << 20);
         self.set_latency(searcher, None);
-        let seat = self.seat(searcher);
+        let Some(seat) = self.seats.get_mut(&searcher) else { return };
         if seat.fresh.replace((since, 0)).is_none() {
             (seat.sent, seat.turn) = (now, turn);
         }
@@ -246,8 +247,8 @@
     /// half; and the longer nothing was heard, the less the past counts.
     fn learn(&mut self, now: Moment, searcher: Searcher, kind: usize, sample: Option<f64>, failed: bool) {
         let (shortest, fleet) = (self.shortest, self.cold.fleet);
-        let held = self.fading(now, &self.seats[searcher.0 as usize]);
-        let seat = self.seat(searcher);
+        let held = self.fading(now, &self.seats[&searcher]);
+        let Some(seat) = self.seats.get_mut(&searcher) else { return };
         let part = (1.0 - held).max(if failed && sample.is_some() { 0.5 } else { 0.125 });
         seat.heard = now;
         seat.failing.resize(seat.failing.len().max(kind + 1), 0.0);
@@ -273,7 +274,7 @@
         let first = self.chance.below(holders.len().max(1));
         holders.rotate_left(first);
         let score = |searcher: Searcher| {
-            let seat = &self.seats[searcher.0 as usize];
+            let seat = &self.seats[&searcher];
             let standing = self.standing(now, seat);
             let failing = seat.failing.get(sort.0).map_or(0.0, |share| share * self.fading(now, seat));
             // Within three tenths smoothed latencies are alike: a tie goes to where crossing has no price.
@@ -304,7 +305,7 @@
             let open = (turn || standing * 1.5 < left) && self.cold.has_room(s, self.shortest, now);
             f64::from(open) * room.max(0.0).ceil()
         };
-        let up = self.holders(shard).map(|s| &self.seats[s.0 as usize]).filter(|s| s.down.is_none());
+        let up = self.holders(shard).map(|s| &self.seats[&s]).filter(|s| s.down.is_none());
         up.map(free).reduce(|a, b| a + b).is_none_or(|room| room >= parts as f64)
     }
 
@@ -312,7 +313,7 @@
     /// pause, or less, are lost oftener by a quarter than those after none. Against all that closes idle ones
     /// unseen: they are shut before use, but for a trial in a check interval. Hurts by needless new ones.
     fn note_sent(&mut self, now: Moment, searcher: Searcher, sort: Sort) -> (Leg, bool) {
-        let seat = &mut self.seats[searcher.0 as usize];
+        let seat = self.seats.entry(searcher).or_default();
         let quarters = now.since(seat.stood).micros() / 250_000;
         let pause = (u64::BITS - quarters.leading_zeros()).min(7) as usize;
         seat.out.push(now);
@@ -326,7 +327,7 @@
     /// What a relay's end tells of its searcher, and whether that seems to have died under the part.
     fn note_landed(&mut self, now: Moment, leg: &Leg, how: Landing, took: f64) -> bool {
         let (from, pause, kind, average) = (leg.to, leg.pause, leg.sort.0, self.average());
-        let seat = &mut self.seats[from.0 as usize];
+        let Some(seat) = self.seats.get_mut(&from) else { return false };
         seat.out.iter().position(|at| *at == leg.left).map(|at| seat.out.remove(at));
         let back = matches!(how, Landing::Honoured | Landing::Erred | Landing::TurnedAway);
         let longer = took > seat.latency.unwrap_or(average);
@@ -336,19 +337,18 @@
         seat.passed = if back { seat.passed.max(leg.left) } else { seat.passed };
         // What others went past, and quickly, is lost by itself: its searcher is not slow for it.
         let alone = in_vain && seat.passed > leg.left && took > 8.0 * seat.latency.unwrap_or(average);
-        // It answers what was sent after the loss, and has not started since: its connection broke, no more.
-        let lives = |at: &Moment| back && leg.left > *at && seat.fresh.is_none_or(|(since, _)| since < *at);
-        seat.lost = seat.lost.filter(|at| !lives(at));
         if back || lost {
             self.lost += (f64::from(lost) - self.lost) * 0.05;
             self.vain[pause] += (f64::from(lost) - self.vain[pause]) / 8.0;
         }
-        // Dropped as soon as it was used again, it had been closed before.
+        // Dropped as soon as it was used again, it had been closed before; and who is gone is no matter.
         let closed = how == Landing::Dropped && pause > 0 && took * 20.0 < self.shortest;
-        let died = how == Landing::Dropped && !closed;
-        seat.lost = if died { Some(now) } else { seat.lost };
+        let died = how == Landing::Dropped && !closed && seat.told.ready;
+        // It answers what was sent after the loss, and has not started since: its connection broke, no more.
+        let lives = |at: &Moment| back && leg.left > *at && seat.fresh.is_none_or(|(since, _)| since < *at);
+        seat.lost = if died { Some(now) } else { seat.lost.filter(|at| !lives(at)) };
         match how {
-            _ if closed => {}
+            _ if closed || !seat.told.ready => {}
             Landing::Honoured => {
                 seat.fresh.iter_mut().for_each(|(_, answers)| *answers += 1);
                 self.learn(now, from, kind, Some(took), false);
@@ -468,20 +468,14 @@
     /// News of searchers; with `whole` who is not in it is gone.
     pub fn listed(&mut self, host: &mut dyn Host, whole: bool, listings: &[Listing]) {
         let now = host.now();
-        let named: BTreeSet<Searcher> = listings.iter().map(|listing| listing.searcher).collect();
-        let all: Vec<Listing> = self.roster.seats.iter().filter(|_| whole).map(|seat| seat.told).collect();
-        for gone in all.into_iter().filter(|told| !named.contains(&told.searcher)) {
-            self.roster.set_home(Listing { ready: false, ..gone });
-        }
-        for &told in listings {
-            // A dozen for all mixers together, some for each core of a usual machine; three for each mixer.
-            let limit = (12.0 / self.roster.cold.fleet).max(3.0);
-            let count = self.roster.seats.len().max(told.searcher.0 as usize + 1);
-            self.roster.seats.resize_with(count, || Seat { limit, ..Seat::default() });
+        let all = self.roster.seats.values().filter(|_| whole).map(|s| Listing { ready: false, ..s.told });
+        let gone: Vec<Listing> = all.filter(|g| listings.iter().all(|l| l.searcher != g.searcher)).collect();
+        for told in gone.into_iter().chain(listings.iter().copied()) {
             let (before, cold) = (self.roster.set_home(told), self.roster.cold.cold);
             let news = told.started.filter(|at| before.started != Some(*at) && now.since(*at) < cold);
             news.iter().for_each(|since| self.roster.renew(now, told.searcher, *since));
         }
+        self.roster.seats.retain(|_, seat| seat.told.ready || !seat.out.is_empty());
     }
 
     pub fn taken(&mut self, host: &mut dyn Host, id: ScanId, scan: ScanTaken) {
@@ -491,8 +485,8 @@
         // A repeat with less left than its sort has at most has only the rest of the abandon time.
         let longest = self.door.longest_left.entry(scan.traffic_type).or_default();
         *longest = scan.left.max(*longest);
-        let first = !scan.repeat || scan.left >= *longest;
-        let elapsed = if first { Span::ZERO } else { kind.abandon.less(scan.left) };
+        let elapsed =
+            if scan.repeat && scan.left < *longest { kind.abandon.less(scan.left) } else { Span::ZERO };
         let quoted = kind.quoted + scan.work.unwrap_or(Span::ZERO) * kind.stretch;
         let late = elapsed + self.lead >= quoted;
         let quoted = if late { quoted } else { quoted.less(elapsed) };
@@ -509,7 +503,7 @@
         }
         // Of two steps, the first may take half of the time.
         let wait = patience * if kind.second_step { 0.5 } else { 1.0 };
-        let held = self.roster.seats.iter().any(|seat| seat.seems_dead(now));
+        let held = self.roster.seats.values().any(|seat| seat.seems_dead(now));
         let parts = scan.parts.iter().map(|taken| Part { taken: *taken, ..Part::default() }).collect();
         let (traffic_type, ends) = (scan.traffic_type, now + patience);
         self.scans.insert(id, Scan { traffic_type, worth, ends, parts, held, ..Scan::default() });
@@ -532,6 +526,10 @@
         self.send_out(host, id);
     }
 
+    pub fn turn_away(&self, host: &mut dyn Host, id: ScanId) {
+        host.bounce(id, self.door.pause);
+    }
+
     pub fn landed(&mut self, host: &mut dyn Host, relay: Ticket, how: Landing, took: Span) {
         let then = self.landings.try_remove(relay.0 as usize).into_iter();
         then.for_each(|then| then(self, host, (how, took)));
@@ -543,7 +541,8 @@
 
     /// A check's result: a searcher that passed is taken for one that has just started, as a dead one has.
     pub fn checked(&mut self, host: &mut dyn Host, searcher: Searcher, there: bool) {
-        let (now, seat) = (host.now(), self.roster.seat(searcher));
+        let now = host.now();
+        let Some(seat) = self.roster.seats.get_mut(&searcher) else { return };
         if there && seat.down.take().is_some() {
             let since = seat.told.started.filter(|at| now.since(*at) < CHECK_EVERY).unwrap_or(now);
             self.roster.renew(now, searcher, since);
@@ -711,8 +710,8 @@
     }
 
     fn deaths(&self, now: Moment, scan: &Scan) -> usize {
-        let dead = |searcher: &&Searcher| self.roster.seats[searcher.0 as usize].seems_dead(now);
-        scan.killed.iter().filter(dead).count()
+        let killed = scan.killed.iter().filter_map(|searcher| self.roster.seats.get(searcher));
+        killed.filter(|seat| seat.seems_dead(now)).count()
     }
 
     fn call_off_all(&self, host: &mut dyn Host, scan: &Scan) {
@@ -721,7 +720,7 @@
 
     /// The design's down mark: a connection failure sets it, a check that passes lifts it.
     fn reached_or_not(&mut self, host: &mut dyn Host, searcher: Searcher, how: Landing) {
-        if how == Landing::Unreached && self.roster.seat(searcher).down.is_none() {
+        if how == Landing::Unreached && self.roster.seats.get(&searcher).is_some_and(|s| s.down.is_none()) {
             self.check_later(host, searcher);
         } else if matches!(how, Landing::Honoured | Landing::Erred | Landing::TurnedAway) {
             self.checked(host, searcher, true);
@@ -730,9 +729,10 @@
 
     fn check_later(&mut self, host: &mut dyn Host, searcher: Searcher) {
         let due = host.now() + CHECK_EVERY;
-        self.roster.seat(searcher).down = Some(due);
+        self.roster.seats.get_mut(&searcher).into_iter().for_each(|seat| seat.down = Some(due));
         self.later(host, CHECK_EVERY, move |mixer, host| {
-            if mixer.roster.may_check && mixer.roster.seat(searcher).down == Some(due) {
+            let down = mixer.roster.seats.get(&searcher).is_some_and(|seat| seat.down == Some(due));
+            if mixer.roster.may_check && down {
                 host.check(searcher);
                 mixer.check_later(host, searcher);
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -73,7 +73,8 @@
     pub turn: u32,
 }
 
-/// A searcher, numbered by the front in the order in which it first heard of them.
+/// A searcher, numbered by the front. A number is never given twice: what comes late for one that has gone
+/// finds nobody, also where one of that name is back.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Searcher(pub u32);
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -201,6 +201,25 @@
 }
 
 /// All mixers together must not topple it: one of twenty has a turn every two seconds at the start.
+#[test]
+fn what_comes_late_for_a_searcher_that_has_gone_does_no_harm_and_its_number_may_be_any() {
+    let mut story = story(whole_only());
+    let id = story.scan(3);
+    let late = story.out(id).into_iter().find(|relay| relay.to == 0).unwrap();
+    story.list(true, &[(u32::MAX, true)], None);
+    story.list(false, &[(7, true)], None);
+    story.pass(50);
+    story.land(late, Landing::Dropped);
+    story.land_all(id, Landing::Honoured);
+    story.mixer.checked(&mut story.host, Searcher(0), true);
+    let next = story.scan(2);
+    let to: Vec<u32> = story.out(next).iter().map(|relay| relay.to).collect();
+    assert!(
+        to.len() == 2 && to.iter().all(|to| [7, u32::MAX].contains(to)),
+        "who had gone has not died: {to:?}"
+    );
+}
+
 #[test]
 fn a_fresh_searcher_gets_little_at_first_and_more_with_its_answers() {
     let mut story = story(whole_only());
