Answers end their connections where places run short; who says nothing goes after 2 s

Probe of who comes, asks and leaves: 128 connections that had asked once and stayed, a third of the descriptors, which is all that clients may hold; 87 that said nothing. Ruled out: the module's door, max_open, the backlog, the restarts (docs/incidents/crowd.md). Lines: Clients::send_off_for sent off one for one where all 215 places were taken; desk.rs reply() kept every connection; a silent newcomer had no limit at all and a half request five seconds from its first byte. Now (routing/clients.rs): answers end their connections while more than half of the places are taken; a first request is to be whole 2 s after its connection came; the longest idle or half asked makes room, but for who came within 100 ms, also where nobody came meanwhile (MakeBerth). Beside it, in the same file's business: only a connection whose rest can't be read lingers, for 512 KiB at the most; who asks for nonsense is heard again after 100 ms; up to 4096 may stand outside, as the library's 128 made a crowd's connections, and others', be dropped by the system.

--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -18,8 +18,11 @@
 const MOST_WAITING: usize = MOST_BODY + 1024;
 /// After a failure to accept: long enough not to spin, short against any client's time.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// How long a closed connection's last bytes may take to be fetched.
-const LINGER: Duration = Duration::from_millis(500);
+/// How long, and for how many bytes, a client that is still sending is read from so that its error reaches it:
+/// closing upon unread bytes resets the connection, and what was written may be lost with it.
+const LINGER: (Duration, usize) = (Duration::from_millis(500), 512 * 1024);
+/// Who asks for what makes no sense is heard again after this: at full speed it would take the time of others.
+const REST: Duration = Duration::from_millis(100);
 
 /// Whether clients are let in.
 #[derive(Default)]
@@ -98,9 +101,22 @@
         if last || !room {
             self.line.close();
         }
+        self.hear_on();
+    }
+
+    fn hear_on(&self) {
         self.answering.set(false);
         self.line.look.ring();
     }
+
+    /// The same for one who asked for what makes no sense, and may ask on.
+    pub async fn blame(self: Rc<Self>, bytes: Vec<u8>) {
+        if !self.line.outbox.push(0, bytes) {
+            self.line.close();
+        }
+        Timer::after(REST).await;
+        self.hear_on();
+    }
 }
 
 async fn serve(hub: Rc<Hub>, client: ClientId, stream: Stream) {
@@ -111,11 +127,11 @@
     let talk = Rc::new(Talk { line, answering, is_last });
     hub.clients.borrow_mut().insert(client, talk.clone());
     hub.feed(Event::ClientCame(client));
-    let mut listening = Listening { reader: Reader::default(), stirred: false };
+    let mut listening = Listening { reader: Reader::default(), stirred: false, lost: false };
     let read = |inbox: &mut Inbox| listening.read(&hub, client, &talk, inbox);
     let stop = pump(&stream, &talk.line, Inbox::new(MOST_UNREAD), read, |_| ()).await;
-    if matches!(stop, Stop::Closed) && !talk.line.is_cut() {
-        linger(&stream, LINGER).await;
+    if matches!(stop, Stop::Closed) && listening.lost {
+        linger(&stream, LINGER.0, LINGER.1).await;
     }
     hub.clients.borrow_mut().remove(&client);
     // Before the event: the last to leave may end the program.
@@ -127,6 +143,8 @@
     reader: Reader,
     /// A request has begun and was told of.
     stirred: bool,
+    /// What comes can't be told apart any more.
+    lost: bool,
 }
 
 impl Listening {
@@ -150,7 +168,10 @@
                         Err(blame) => Event::Misasked(client, blame, false),
                     }
                 }
-                Err(fault) => Event::Misasked(client, blame(fault), true),
+                Err(fault) => {
+                    self.lost = true;
+                    Event::Misasked(client, blame(fault), true)
+                }
             };
             self.stirred = false;
             talk.answering.set(true);
--- a/crates/mixer/src/program/hub.rs
+++ b/crates/mixer/src/program/hub.rs
@@ -175,13 +175,16 @@
                 Reply::Bounce(pause) => scans::bounce(*pause, last),
                 Reply::WriteOff => scans::write_off(last),
                 Reply::Health(ready) => scans::health(*ready, last),
+                Reply::Refusal(why) if !last => {
+                    return self.spawn(talk.clone().blame(scans::refusal(why, last)));
+                }
                 Reply::Refusal(why) => scans::refusal(why, last),
             };
             talk.answer(bytes, last);
         });
     }
 
-    fn to_client(&self, client: ClientId, act: impl FnOnce(&Talk)) {
+    fn to_client(&self, client: ClientId, act: impl FnOnce(&Rc<Talk>)) {
         let talk = self.clients.borrow().get(&client).cloned();
         if let Some(talk) = talk {
             act(&talk);
--- a/crates/mixer/src/routing/alarms.rs
+++ b/crates/mixer/src/routing/alarms.rs
@@ -11,8 +11,10 @@
     Wake(Ticket),
     /// A relay's time is over, if it is still the one that is due then.
     Overdue(Ticket, Moment),
-    /// A request that began then is to be whole.
+    /// What a client has been about since then is to be whole.
     HalfAsked(ClientId, Moment),
+    /// Somebody is to make room, if still nobody has.
+    MakeBerth,
     /// A frame that began then is to be whole.
     HalfSaid(LinkId, Moment),
     ShutDoor,
--- a/crates/mixer/src/routing/desk.rs
+++ b/crates/mixer/src/routing/desk.rs
@@ -255,8 +255,8 @@
     }
 
     pub fn reply(&mut self, client: ClientId, reply: Reply, last: bool) {
-        let last = last || self.stopping;
-        self.clients.set(client, if last { Doing::Leaving } else { Doing::Idle(self.now) });
+        let last = last || self.stopping || self.clients.are_many();
+        self.clients.set(client, if last { Doing::Leaving } else { Doing::Idle }, self.now);
         self.effects.push(Effect::Reply { client, reply, last });
     }
 
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -1,7 +1,7 @@
 //! The one place where state changes.
 
 use super::alarms::Alarm;
-use super::clients::Doing;
+use super::clients::{Doing, HALF_ASKED, SETTLING};
 use super::desk::{Desk, Open};
 use super::pool::Stand;
 use super::{ClientId, Effect, Ending, Event, LinkId, Reply};
@@ -15,8 +15,6 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-/// A request that has begun is to be whole within this; clients send theirs in one piece.
-const HALF_ASKED: Span = Span::of_millis(5_000);
 /// After a stop is asked for, clients go on coming for 0.4 s at most (PROTOCOL.md); what comes later than
 /// 0.7 s is nobody's.
 const DOOR_OPEN: Span = Span::of_millis(600);
@@ -118,7 +116,7 @@
             Open { client, name: ask.name.clone(), label: ask.label, text: ask.text.into(), parts, size: 0 };
         let id = self.desk.scans.open(open);
         self.desk.names.insert(ask.name);
-        self.desk.clients.set(client, Doing::Waiting(id));
+        self.desk.clients.set(client, Doing::Waiting(id), self.desk.now);
         // The bench turns such scans away before they reach a mixer; here they come this far.
         if self.desk.held > self.most_held {
             return self.mixer.turn_away(&mut self.desk, id);
@@ -262,10 +260,24 @@
         }
     }
 
-    /// Descriptors have run short in spite of the berths: idle clients go first.
-    fn make_room(&mut self) {
-        let leaves = self.desk.clients.send_off_longest_idle(None);
+    /// Descriptors have run short in spite of the berths.
+    fn make_room(&mut self) -> bool {
+        let leaves = self.desk.clients.send_off_longest(self.desk.now.less(SETTLING));
         self.desk.effects.extend(leaves.map(Effect::Dismiss));
+        leaves.is_some()
+    }
+
+    /// All berths for clients are taken: one makes room for who stands outside, if not at once then as soon as
+    /// one has settled.
+    fn make_berth(&mut self) {
+        if self.desk.clients.are_too_many() && !self.make_room() {
+            self.desk.alarms.set(self.desk.now + SETTLING, Alarm::MakeBerth);
+        }
+    }
+
+    /// What has come from a client, since then, is to be whole in time.
+    fn await_whole(&mut self, client: ClientId, since: Moment) {
+        self.desk.alarms.set(since + HALF_ASKED, Alarm::HalfAsked(client, since));
     }
 
     fn time_came(&mut self) {
@@ -274,31 +286,33 @@
             match alarm {
                 Alarm::Wake(ticket) => self.mixer.woken(&mut self.desk, ticket),
                 Alarm::Overdue(ticket, due) => self.desk.overdue(ticket, due),
-                Alarm::HalfAsked(client, began) => {
-                    if self.desk.clients.doing(client) == Some(Doing::Asking(began)) {
-                        self.desk.clients.set(client, Doing::Leaving);
+                Alarm::HalfAsked(client, since) => {
+                    if self.desk.clients.is_half_asked(client, since) {
+                        self.desk.clients.set(client, Doing::Leaving, self.desk.now);
                         self.desk.effects.push(Effect::Dismiss(client));
                     }
                 }
+                Alarm::MakeBerth => self.make_berth(),
                 Alarm::HalfSaid(link, since) => self.half_said(link, since),
                 Alarm::ShutDoor => self.desk.effects.push(Effect::ShutDoor),
                 Alarm::LastCall => {
                     self.last_call = true;
-                    self.send_off_idle();
+                    self.send_off_idle(self.desk.now);
                 }
             }
         }
     }
 
-    fn send_off_idle(&mut self) {
-        let idle = self.desk.clients.send_off_idle();
+    fn send_off_idle(&mut self, by: Moment) {
+        let idle = self.desk.clients.send_off_idle(by);
         self.desk.effects.extend(idle.into_iter().map(Effect::Dismiss));
     }
 
     fn stop(&mut self) {
         if !self.desk.stopping {
             self.desk.stopping = true;
-            self.send_off_idle();
+            // Who has just come is about to ask.
+            self.send_off_idle(self.desk.now.less(SETTLING));
             self.desk.alarms.set(self.desk.now + DOOR_OPEN, Alarm::ShutDoor);
         }
     }
@@ -310,12 +324,12 @@
     match event {
         Event::ClientCame(client) => {
             state.desk.clients.came(client, now);
-            let leaves = state.desk.clients.send_off_for(client);
-            state.desk.effects.extend(leaves.map(Effect::Dismiss));
+            state.await_whole(client, now);
+            state.make_berth();
         }
         Event::Stirred(client) => {
-            state.desk.clients.set(client, Doing::Asking(now));
-            state.desk.alarms.set(now + HALF_ASKED, Alarm::HalfAsked(client, now));
+            state.desk.clients.stirred(client, now);
+            state.await_whole(client, now);
         }
         Event::Asked(client, ask) => state.asked(client, ask),
         Event::HealthAsked(client) => {
@@ -342,7 +356,9 @@
         Event::WatchBroke => state.mixer.watch(&mut state.desk, true),
         Event::TimeCame => state.time_came(),
         Event::StopAsked => state.stop(),
-        Event::Short => state.make_room(),
+        Event::Short => {
+            state.make_room();
+        }
         Event::DoorShut => state.desk.alarms.set(now + LAST_CALL, Alarm::LastCall),
     }
     let mut effects = state.settle();
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -583,7 +583,7 @@
 fn where_berths_run_short_the_longest_idle_client_goes_and_busy_ones_stay() {
     let mut play = play_with(1, "", Berths { clients: 2, links: 2 });
     let first = play.come();
-    play.pass(10);
+    play.pass(150);
     let busy = play.ask(ask("a", "look", &[0]));
     assert!(play.did(&Effect::Dismiss(first)), "the last berth was taken");
     assert!(play.did(&Effect::Door(false)), "until it has gone, nobody is let in");
@@ -599,9 +599,11 @@
     let mut play = play(2);
     let idle = play.come();
     play.ask(ask("a", "look", &[0]));
+    play.pass(150);
     play.feed(Event::Short);
     assert!(play.did(&Effect::Dismiss(idle)));
     let other = play.come();
+    play.pass(150);
     play.feed(Event::Short);
     assert!(play.did(&Effect::Dismiss(other)));
     play.feed(Event::Short);
@@ -611,17 +613,58 @@
     );
 }
 
-#[test]
-fn a_request_that_stays_half_sent_is_dropped() {
+/// When what stirs after so long, and does not become whole, is dropped: counted from its connection, where it
+/// is the first there, and from its own first byte where it is not.
+#[test_case(None, false, 2_000; "says nothing")]
+#[test_case(Some(1_900), false, 2_000; "begins late")]
+#[test_case(Some(1_000), true, 3_000; "half a request after a whole one")]
+#[test_case(None, true, u64::MAX; "has asked and keeps its connection")]
+fn a_connection_owes_whole_requests_in_time(stirs: Option<u64>, has_asked: bool, dropped: u64) {
     let mut play = play(1);
-    let (half, whole) = (play.come(), play.come());
-    play.feed(Event::Stirred(half));
-    play.feed(Event::Stirred(whole));
-    play.pass(100);
-    play.feed(Event::HealthAsked(whole));
-    assert_eq!(play.replies(), [(whole, Reply::Health(true), false)]);
-    play.pass(6_000);
-    assert!(play.did(&Effect::Dismiss(half)) && !play.did(&Effect::Dismiss(whole)));
+    let client = play.come();
+    if has_asked {
+        play.feed(Event::Stirred(client));
+        play.feed(Event::HealthAsked(client));
+        assert_eq!(play.replies(), [(client, Reply::Health(true), false)]);
+    }
+    for at in (100..=6_000).step_by(100) {
+        play.pass(100);
+        if stirs == Some(at) {
+            play.feed(Event::Stirred(client));
+        }
+        assert_eq!(play.did(&Effect::Dismiss(client)), at == dropped, "after {at}");
+    }
+}
+
+/// Connections that said nothing once kept usual clients outside, and so did those that had been answered.
+#[test]
+fn a_crowd_that_says_nothing_makes_room_for_who_asks() {
+    let mut play = play_with(1, "", Berths { clients: 4, links: 2 });
+    let crowd: Vec<ClientId> = (0..4).map(|_| play.come()).collect();
+    assert!(play.did(&Effect::Door(false)));
+    play.pass(90);
+    assert!(!play.did(&Effect::Dismiss(crowd[0])), "it may be about to ask");
+    play.pass(20);
+    assert!(play.did(&Effect::Dismiss(crowd[0])));
+    play.feed(Event::ClientGone(crowd[0]));
+    assert!(play.did(&Effect::Door(true)));
+    let usual = play.ask(ask("a", "look", &[0]));
+    assert!(play.did(&Effect::Dismiss(crowd[1])), "at once, for the next who stands outside");
+    let link = play.send()[0].link;
+    play.back(link, "a.0", PartEnd::Honoured, "v");
+    assert!(
+        matches!(play.replies()[..], [(to, Reply::Answer { .. }, true)] if to == usual),
+        "it frees its place"
+    );
+    crowd.iter().for_each(|client| play.feed(Event::ClientGone(*client)));
+    play.feed(Event::ClientGone(usual));
+    let usual = play.ask(ask("b", "look", &[0]));
+    play.handed();
+    play.back(link, "b.0", PartEnd::Honoured, "v");
+    assert!(
+        matches!(play.replies()[..], [(to, Reply::Answer { .. }, false)] if to == usual),
+        "alone, it stays"
+    );
 }
 
 #[test]
@@ -637,10 +680,14 @@
 fn told_to_stop_it_serves_who_still_comes_and_leaves_when_all_is_answered() {
     let mut play = play(1);
     let idle = play.come();
+    play.pass(150);
+    let new = play.come();
     let busy = play.ask(ask("a", "look", &[0]));
     let link = play.send()[0].link;
     play.feed(Event::StopAsked);
     assert!(play.did(&Effect::Dismiss(idle)));
+    assert!(!play.did(&Effect::Dismiss(new)), "it is about to ask");
+    play.feed(Event::ClientGone(new));
     play.feed(Event::ClientGone(idle));
     play.pass(300);
     let late = play.ask(ask("b", "look", &[1]));
--- a/crates/mixer/src/transport/net.rs
+++ b/crates/mixer/src/transport/net.rs
@@ -9,8 +9,14 @@
 
 pub type Stream = Async<TcpStream>;
 
+/// How many may stand outside; the system's own bound is below it. With the library's 128, a crowd that comes
+/// at once would have its connections, and those of others, dropped and tried again a second later.
+const OUTSIDE: i32 = 4096;
+
 pub fn listen(at: SocketAddr) -> io::Result<Async<TcpListener>> {
-    Async::<TcpListener>::bind(at)
+    let listener = Async::<TcpListener>::bind(at)?;
+    rustix::net::listen(&listener, OUTSIDE)?;
+    Ok(listener)
 }
 
 /// What comes of it, if it does so within the time.
--- a/crates/mixer/src/transport/pump.rs
+++ b/crates/mixer/src/transport/pump.rs
@@ -56,10 +56,6 @@
         }
     }
 
-    pub fn is_cut(&self) -> bool {
-        self.cut.get()
-    }
-
     /// Closes at once; what waits is never written.
     pub fn cut(&self) {
         self.cut.set(true);
@@ -138,16 +134,21 @@
     Ok(count)
 }
 
-/// Ends our direction and reads the other for a little, so that what was written is not lost to a reset.
-pub async fn linger(stream: &Stream, most: Duration) {
+/// Ends our direction and throws away a little of what comes from the other, so that what was written is not
+/// lost to a reset.
+pub async fn linger(stream: &Stream, within: Duration, mut bytes: usize) {
     let _ = stream.get_ref().shutdown(std::net::Shutdown::Write);
     let rest = async {
-        let (mut socket, mut waste) = (stream, [0; 1024]);
-        while socket.read(&mut waste).await.is_ok_and(|count| count > 0) {
+        let (mut socket, mut waste) = (stream, [0; 4096]);
+        while let Ok(count @ 1..) = socket.read(&mut waste).await {
+            bytes = bytes.saturating_sub(count);
+            if bytes == 0 {
+                return;
+            }
             future::yield_now().await;
         }
     };
-    in_time(most, rest).await;
+    in_time(within, rest).await;
 }
 
 #[cfg(test)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,9 @@
     pub const fn micros(self) -> u64 {
         self.0
     }
+    pub const fn less(self, span: Span) -> Moment {
+        Moment(self.0.saturating_sub(span.0))
+    }
     /// How long before `self` that `earlier` was; nothing if it was not earlier.
     pub const fn since(self, earlier: Moment) -> Span {
         Span(self.0.saturating_sub(earlier.0))
