A failure costs what it takes to find a part late, no more the whole quoted time

Line: Roster::place read failures as the quoted time by their share: a fifth of failures at 10 ms weighed as 108 ms, ten times a sound replica, though a late part goes on elsewhere after a quarter of that time. Now they read as a late part (Roster::late: a quarter of the quoted time, or eight times the usual where that is more, the quoted time at the most, so that where work takes a tenth of it nothing changes).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -235,6 +235,11 @@
         (average + (known - average) * self.fading(now, seat)).max(waits.as_f64())
     }
 
+    /// How long a part is out until it is late; sooner, it would be for who only stands still for a while.
+    fn late(&self, quoted: Span) -> f64 {
+        (quoted.as_f64() / 4.0).max(8.0 * self.typical).min(quoted.as_f64())
+    }
+
     /// How much of what is known holds: halved over the check interval, and three tenths of the fleet's turn,
     /// as each of many hears of it less often. None of that lost 0.01, all of it no less.
     fn fading(&self, now: Moment, seat: &Seat) -> f64 {
@@ -266,8 +271,8 @@
     }
 
     /// The design's choice: least latency x (own parts out + 1), among replicas listed ready, not down, and
-    /// not in `tried`; a down one gets a part as its check where there are no probes. Failures read as the
-    /// quoted time, by their share in the sort, so that who fails fast draws no parts. Hurts bad luck.
+    /// not in `tried`; a down one gets a part as its check where there are no probes. Failures read as a late
+    /// part, by their share in the sort, so that who fails fast draws no parts. Hurts bad luck.
     fn place(&mut self, now: Moment, shard: u32, sort: Sort, tried: &[Searcher]) -> Option<Searcher> {
         let mut holders: Vec<Searcher> = self.holders(shard).filter(|s| !tried.contains(s)).collect();
         let first = self.chance.below(holders.len().max(1));
@@ -278,7 +283,7 @@
             let failing = seat.failing.get(sort.0).map_or(0.0, |share| share * self.fading(now, seat));
             // Within three tenths smoothed latencies are alike: a tie goes to where crossing has no price.
             let tie = if seat.told.dear { 1.3 } else { 1.0 };
-            let latency = (standing + failing * (sort.1.as_f64() - standing).max(0.0)) * tie;
+            let latency = (standing + failing * (self.late(sort.1) - standing).max(0.0)) * tie;
             match seat.down {
                 Some(due) => (!self.may_check && now >= due).then_some((0.0, searcher)),
                 None if !self.cold.has_room(seat, self.shortest, now) => None,
@@ -364,8 +369,7 @@
     }
 }
 
-/// What a scan is worth at the door: its credit for its work, less over its customer's share or past its
-/// quoted time. The less it is worth, the less of a limit it may fill (`Roster::room`).
+/// What a scan is worth at the door: the less, the less of a limit it may fill (`Roster::room`).
 #[derive(Default)]
 pub struct Door {
     over_share_credit: f64,
@@ -420,9 +424,8 @@
     killed: Vec<Searcher>,
     /// One part went ahead, the others wait.
     held: bool,
-    /// Where the present step's parts begin.
+    /// Where the present step's parts begin, and, at a second one, whether the first was whole.
     first: usize,
-    /// At a second step: whether the first was whole.
     first_whole: Option<bool>,
 }
 
@@ -502,6 +505,7 @@
         }
         // Of two steps, the first may take half of the time.
         let wait = patience * if kind.second_step { 0.5 } else { 1.0 };
+        let late = Span::of_micros(self.roster.late(kind.quoted) as u64);
         let held = self.roster.seats.values().any(|seat| seat.seems_dead(now));
         let parts = scan.parts.iter().map(|taken| Part { taken: *taken, ..Part::default() }).collect();
         let (traffic_type, ends) = (scan.traffic_type, now + patience);
@@ -511,7 +515,6 @@
                 mixer.close(host, id);
             }
         });
-        let late = (quoted * 0.25).max(Span::of_micros((8.0 * self.roster.typical) as u64));
         self.later(host, late, move |mixer, host| mixer.hurry(host, id, late));
         self.send_out(host, id);
     }
@@ -655,9 +658,8 @@
         place.filter(|_| self.budget.has_room(now))
     }
 
-    /// A part out for eight times what is usual, and a quarter of the quoted time, is given up for another
-    /// replica, and its connection trusted no more: against parts and connections that fall silent alone.
-    /// Sooner, it would meet who only stands still for a while. Hurts where work done is lost by it.
+    /// A late part is given up for another replica, and its connection trusted no more: against parts and
+    /// connections that fall silent alone. Hurts where work done is lost by it.
     fn hurry(&mut self, host: &mut dyn Host, id: ScanId, wait: Span) {
         let Some(scan) = self.scans.get(&id) else { return };
         let out = |(at, part): (usize, &Part)| Some((at, part.out?, *part.tried.last()?));
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -3,7 +3,7 @@
 mod host;
 
 use fernglade::choice::RelayBudget;
-use fernglade::{Effect, Landing, Listing, PartTaken, Searcher, Span, TrafficType};
+use fernglade::{Effect, Landing, Listing, PartTaken, ScanId, Searcher, Span, TrafficType};
 use host::{story, story_of, story_with, whole_only, Ending, Story};
 use test_case::test_case;
 
@@ -491,6 +491,24 @@
     assert_eq!(story.host.ending(hurried).is_none(), taken);
 }
 
+/// A failure was once read as the whole quoted time: few of them at half of the searchers left the others to
+/// queue, though a late part goes on elsewhere.
+#[test]
+fn a_searcher_that_failed_once_is_used_before_the_others_queue() {
+    let mut story = story(whole_only());
+    story.settle_in(5);
+    let once = story.scan(1);
+    let failed = story.out(once)[0];
+    story.land(failed, Landing::Erred);
+    story.land_all(once, Landing::Honoured);
+    story.pass(10_000);
+    let scans: Vec<ScanId> = (0..14).map(|_| story.scan(1)).collect();
+    let at_once: Vec<u32> = scans.into_iter().flat_map(|id| story.out(id)).map(|relay| relay.to).collect();
+    assert_eq!(at_once.len(), 14, "{:?}", story.host.endings);
+    assert_ne!(at_once[0], failed.to);
+    assert!(at_once.contains(&failed.to), "{at_once:?}");
+}
+
 /// One part stuck at each replica once shut the door, though all of them went on answering.
 #[test]
 fn a_part_that_is_stuck_alone_does_not_shut_the_door() {
