--- a/src/choice.rs
+++ b/src/choice.rs
@@ -661,7 +661,7 @@
     /// A late part is given up for another replica, and its connection trusted no more: against parts and
     /// connections that fall silent alone. Hurts where work done is lost by it.
     fn hurry(&mut self, host: &mut dyn Host, id: ScanId, wait: Span) {
-        let Some(scan) = self.scans.get(&id) else { return };
+        let Some(scan) = self.scans.get(&id).filter(|s| s.ends.since(host.now()) >= wait) else { return };
         let out = |(at, part): (usize, &Part)| Some((at, part.out?, *part.tried.last()?));
         let out: Vec<_> = scan.parts.iter().enumerate().filter_map(out).collect();
         for (at, (relay, left), to) in out {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -439,6 +439,7 @@
 /// Parts once waited for the timer at a connection that had fallen silent, while others answered in no time.
 #[test_case(whole_only(), 495, 1, false; "not before a quarter of the quoted time")]
 #[test_case(whole_only(), 505, 100, false; "nor before eight times the usual")]
+#[test_case(whole_only(), 1_500, 150, false; "nor where less time is left than that")]
 #[test_case(whole_only(), 505, 1, true; "redoable")]
 #[test_case(labelled(), 505, 1, true; "labelled, inside its window")]
 #[test_case(irreversible(), 505, 1, false; "irreversible may have run")]
