--- a/crates/mixer/src/main.rs
+++ b/crates/mixer/src/main.rs
@@ -5,12 +5,26 @@
 mod routing;
 mod transport;
 
+use clap::Parser;
 use program::Orders;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// One mixer of a sharded search service, on sockets. The platform's orders come from the file that ROUTER_CONFIG
+/// names.
+#[derive(Parser)]
+#[command(version)]
+struct Call {
+    /// The operator's own file (JSON5), read again on SIGHUP; without it all that it could switch on is off.
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+}
+
 fn main() -> ExitCode {
+    let call = Call::parse();
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    match Orders::read(|name| std::env::var(name).ok()).and_then(program::run) {
+    let orders = Orders::read(call.operator.as_deref(), |name| std::env::var(name).ok());
+    match orders.and_then(program::run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             eprintln!("fernglade-mixer: {what}");
--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -5,14 +5,17 @@
 use crate::protocol::scans::{question, Blame, Question};
 use crate::protocol::MOST_BODY;
 use crate::routing::{ClientId, Event};
-use crate::transport::{is_short, linger, pump, Bell, Inbox, Line, Stop, Stream};
+use crate::protocol::scans::bounce;
+use crate::transport::{accept, is_short, linger, pump, Accepted, Bell, Inbox, Line, Reserve, Stop, Stream};
 use async_io::{Async, Timer};
 use futures_lite::future;
-use std::cell::Cell;
-use std::net::TcpListener;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::ops::ControlFlow;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// One answer.
 const MOST_WAITING: usize = MOST_BODY + 1024;
@@ -24,12 +27,20 @@
 /// Who asks for what makes no sense is heard again after this: at full speed it would take the time of others.
 const REST: Duration = Duration::from_millis(100);
 
-/// Whether clients are let in.
+/// How many are accepted before others have a turn: some hundred microseconds' work.
+const BATCH: usize = 32;
+/// How long one who is turned away may take to fetch its refusal, while there is room for more of them.
+const TELLING: Duration = Duration::from_millis(500);
+/// How often those who are being told are looked at.
+const TELLING_TURN: Duration = Duration::from_millis(5);
+
+/// Whether clients are accepted, and those that were and have no place yet.
 #[derive(Default)]
 pub struct Door {
     full: Cell<bool>,
     shut: Cell<bool>,
     moved: Bell,
+    porch: RefCell<BTreeMap<ClientId, TcpStream>>,
 }
 
 impl Door {
@@ -42,50 +53,131 @@
         self.shut.set(true);
         self.moved.ring();
     }
+
+    pub fn take(&self, client: ClientId) -> Option<TcpStream> {
+        self.porch.borrow_mut().remove(&client)
+    }
+}
+
+/// Lets in one that waits on the porch.
+pub fn let_in(hub: &Rc<Hub>, client: ClientId) {
+    match hub.door.take(client).map(Async::new) {
+        Some(Ok(stream)) => hub.spawn(serve(hub.clone(), client, stream)),
+        _ => hub.feed(Event::ClientGone(client)),
+    }
 }
 
-pub async fn let_in(hub: Rc<Hub>, listener: Async<TcpListener>) {
+pub async fn accept_all(hub: Rc<Hub>, listener: Async<TcpListener>) {
     let mut count = 0;
-    let mut enter = |stream: Stream| {
+    let mut knock = |accepted: Accepted| {
         count += 1;
-        hub.spawn(serve(hub.clone(), ClientId(count), stream));
+        let client = ClientId(count);
+        hub.door.porch.borrow_mut().insert(client, accepted.stream);
+        hub.feed(Event::Knocked(client, accepted.from));
     };
-    let mut short = false;
+    let (mut short, mut reserve) = (false, Reserve::default());
     while !hub.door.shut.get() {
         let moved = async {
             hub.door.moved.wait().await;
-            None
+            false
         };
         if hub.door.full.get() {
             moved.await;
             continue;
         }
-        match future::or(moved, async { Some(listener.accept().await) }).await {
-            Some(Ok((stream, _))) => {
-                short = false;
-                enter(stream);
-                future::yield_now().await;
-            }
-            Some(Err(error)) => {
-                if is_short(&error) {
-                    if !std::mem::replace(&mut short, true) {
-                        log::warn!("no client can be let in: {error}");
+        if !future::or(moved, async { listener.readable().await.is_ok() }).await {
+            continue;
+        }
+        for _ in 0..BATCH {
+            match accept(listener.get_ref()) {
+                Ok(Some(accepted)) => {
+                    short = false;
+                    knock(accepted);
+                }
+                Ok(None) => break,
+                Err(error) => {
+                    if is_short(&error) {
+                        if !std::mem::replace(&mut short, true) {
+                            log::warn!("no client can be let in: {error}");
+                        }
+                        hub.feed(Event::Short);
+                        // Whoever is at the door hears so, rather than waiting for what may not come.
+                        if let Some(accepted) = reserve.accept(listener.get_ref()) {
+                            refuse(&accepted.stream, &bounce(hub.come_back.get(), true));
+                        }
+                        reserve.restore();
                     }
-                    hub.feed(Event::Short);
+                    Timer::after(ACCEPT_PAUSE).await;
+                    break;
                 }
-                Timer::after(ACCEPT_PAUSE).await;
             }
-            None => {}
+            if hub.door.full.get() || hub.door.shut.get() {
+                break;
+            }
         }
+        future::yield_now().await;
     }
     // The system has taken in who stands outside: they are served.
-    while let Ok((stream, _)) = listener.get_ref().accept() {
-        Async::new(stream).into_iter().for_each(&mut enter);
+    while let Ok(Some(accepted)) = accept(listener.get_ref()) {
+        knock(accepted);
     }
     drop(listener);
     hub.feed(Event::DoorShut);
 }
 
+/// What has come is thrown away, as far as it is here, and the refusal written: closing upon unread bytes would
+/// reset the connection, and what was written might be lost with it. False where neither can be done.
+fn refuse(mut stream: &TcpStream, refusal: &[u8]) -> bool {
+    waste(stream) && stream.write(refusal).is_ok_and(|count| count == refusal.len()) && {
+        let _ = stream.shutdown(Shutdown::Write);
+        true
+    }
+}
+
+/// Throws away a little of what has come; false once there is no more to come.
+fn waste(mut stream: &TcpStream) -> bool {
+    match stream.read(&mut [0; 4096]) {
+        Ok(count) => count > 0,
+        Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
+    }
+}
+
+/// Those who were turned away and may not have fetched the refusal yet: so many at most, past which the one told
+/// longest goes. One task looks after all of them.
+pub struct Teller {
+    told: RefCell<VecDeque<(TcpStream, Instant)>>,
+    most: usize,
+    bell: Bell,
+}
+
+impl Teller {
+    pub fn new(most: usize) -> Self {
+        Self { told: RefCell::default(), most: most.max(1), bell: Bell::default() }
+    }
+
+    pub fn tell(&self, stream: TcpStream, refusal: &[u8]) {
+        if refuse(&stream, refusal) {
+            let mut told = self.told.borrow_mut();
+            if told.len() == self.most {
+                told.pop_front();
+            }
+            told.push_back((stream, Instant::now()));
+            self.bell.ring();
+        }
+    }
+}
+
+/// Lets go of those who have fetched their refusal, and of who takes too long.
+pub async fn tell_all(hub: Rc<Hub>) {
+    loop {
+        if hub.teller.told.borrow().is_empty() {
+            hub.teller.bell.wait().await;
+        }
+        Timer::after(TELLING_TURN).await;
+        hub.teller.told.borrow_mut().retain(|(stream, since)| since.elapsed() < TELLING && waste(stream));
+    }
+}
+
 /// One client's connection, as others see it.
 pub struct Talk {
     pub line: Line,
@@ -120,13 +212,10 @@
 }
 
 async fn serve(hub: Rc<Hub>, client: ClientId, stream: Stream) {
-    if stream.get_ref().set_nodelay(true).is_err() {
-        return;
-    }
+    let _ = stream.get_ref().set_nodelay(true);
     let (line, answering, is_last) = (Line::new(MOST_WAITING), Cell::new(false), Cell::new(false));
     let talk = Rc::new(Talk { line, answering, is_last });
     hub.clients.borrow_mut().insert(client, talk.clone());
-    hub.feed(Event::ClientCame(client));
     let mut listening = Listening { reader: Reader::default(), stirred: false, lost: false };
     let read = |inbox: &mut Inbox| listening.read(&hub, client, &talk, inbox);
     let stop = pump(&stream, &talk.line, Inbox::new(MOST_UNREAD), read, |_| ()).await;
--- a/crates/mixer/src/program/hub.rs
+++ b/crates/mixer/src/program/hub.rs
@@ -1,6 +1,6 @@
 //! The wiring: events of all tasks go to the state machine one after another, and its effects to the tasks.
 
-use super::clients::{self, Door, Talk};
+use super::clients::{self, Door, Talk, Teller};
 use super::clock::Clock;
 use super::{links, watch, Orders};
 use crate::protocol::{frames, scans};
@@ -9,11 +9,12 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
-use fernglade::Moment;
+use fernglade::{Moment, Span};
 use futures_lite::{future, StreamExt};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::future::Future;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,6 +27,10 @@
     pub clients: RefCell<BTreeMap<ClientId, Rc<Talk>>>,
     links: RefCell<BTreeMap<LinkId, Rc<Line>>>,
     pub door: Door,
+    pub teller: Teller,
+    /// When those refused where no descriptor is left are to come back.
+    pub come_back: Cell<Span>,
+    operator: Option<PathBuf>,
     pub watch: watch::Wish,
     alarm: Cell<Option<Moment>>,
     alarm_set: Bell,
@@ -40,8 +45,9 @@
 
 async fn serve(orders: Orders, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
     let clock = Clock::start();
-    let mut state =
-        State::new(&orders.readings, orders.seed, orders.berths).map_err(|what| what.to_string())?;
+    let house = orders.operator.house();
+    let state = State::new(&orders.readings, orders.seed, orders.descriptors, house);
+    let mut state = state.map_err(|what| what.to_string())?;
     let first = state.begin(&orders.known, orders.discovery, clock.now());
     let listener = listen(orders.listen).map_err(|e| format!("cannot listen on {}: {e}", orders.listen))?;
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
@@ -55,6 +61,9 @@
         clients: RefCell::default(),
         links: RefCell::default(),
         door: Door::default(),
+        teller: Teller::new(orders.descriptors.told),
+        come_back: Cell::new(Span::ZERO),
+        operator: orders.operator_file,
         watch: watch::Wish::default(),
         alarm: Cell::new(None),
         alarm_set: Bell::default(),
@@ -62,7 +71,8 @@
     });
     log::info!("{} listens on {}, {} searchers known", orders.name, orders.listen, orders.known.rows.len());
     first.into_iter().for_each(|effect| hub.act(effect));
-    hub.spawn(clients::let_in(hub.clone(), listener));
+    hub.spawn(clients::accept_all(hub.clone(), listener));
+    hub.spawn(clients::tell_all(hub.clone()));
     hub.spawn(watch::keep(hub.clone()));
     hub.spawn(ring(hub.clone()));
     hub.spawn(heed(hub.clone(), signals));
@@ -107,10 +117,11 @@
 
 /// A file that can't be used leaves all as it is.
 fn read_again(hub: &Rc<Hub>) {
-    match Orders::read_again() {
+    match Orders::read_again(hub.operator.as_deref()) {
         Ok(orders) => {
             log::info!("orders read again, discovery is at {}", orders.discovery);
             hub.feed(Event::Moved(orders.discovery));
+            hub.feed(Event::Ruled(orders.operator.house()));
         }
         Err(what) => log::warn!("the old orders stand: {what}"),
     }
@@ -139,6 +150,13 @@
     fn act(self: &Rc<Self>, effect: Effect) {
         match effect {
             Effect::Reply { client, reply, last } => self.reply(client, &reply, last),
+            Effect::LetIn(client) => clients::let_in(self, client),
+            Effect::TurnAway(client, pause) => {
+                self.come_back.set(pause);
+                if let Some(stream) = self.door.take(client) {
+                    self.teller.tell(stream, &scans::bounce(pause, true));
+                }
+            }
             Effect::Dismiss(client) => self.to_client(client, |talk| talk.line.dismiss()),
             Effect::Door(open) => self.door.open(open),
             Effect::ShutDoor => self.door.shut(),
--- a/crates/mixer/src/routing/alarms.rs
+++ b/crates/mixer/src/routing/alarms.rs
@@ -13,8 +13,8 @@
     Overdue(Ticket, Moment),
     /// What a client has been about since then is to be whole.
     HalfAsked(ClientId, Moment),
-    /// Somebody is to make room, if still nobody has.
-    MakeBerth,
+    /// Somebody at the door may have waited long enough, if this is still what is due.
+    Door(Moment),
     /// A frame that began then is to be whole.
     HalfSaid(LinkId, Moment),
     ShutDoor,
--- a/crates/mixer/src/routing/clients.rs
+++ b/crates/mixer/src/routing/clients.rs
@@ -1,17 +1,15 @@
-//! The clients' connections, and which may go when places run short.
+//! The clients' connections, and what each is about.
 
 use super::ClientId;
 use fernglade::{Moment, ScanId, Span};
+use fernglade_admission::{Act, Guest, House, HouseRules, Standing};
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 
 /// A request is to be whole so long after its first byte, and a connection's first so long after that came:
 /// clients send theirs in one piece. Whoever connects is owed an answer or a close within three seconds; one
-/// of them is for waiting outside.
+/// of them is for waiting on the porch.
 pub const HALF_ASKED: Span = Span::of_millis(2_000);
-/// Who has just come, answered or begun to ask is not sent off to make room: usual clients' requests are whole
-/// within milliseconds. Longer would leave who stands outside there.
-pub const SETTLING: Span = Span::of_millis(100);
-
 /// What a client is about.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Doing {
@@ -31,20 +29,86 @@
     since: Moment,
 }
 
-#[derive(Default)]
+/// Who is inside, and what about. Who is let in, and who goes, is the house's to say.
 pub struct Clients {
     here: BTreeMap<ClientId, Client>,
-    /// How many are let in at most.
-    pub most: usize,
-    shut_out: bool,
+    house: House,
+    acts: Vec<Act>,
+}
+
+impl Default for Clients {
+    fn default() -> Self {
+        Self::new(HouseRules::default(), 2)
+    }
 }
 
 impl Clients {
+    pub fn new(rules: HouseRules, most: usize) -> Self {
+        Self { here: BTreeMap::new(), house: House::new(rules, most), acts: Vec::new() }
+    }
+
+    /// A connection was accepted.
+    pub fn knocked(&mut self, client: ClientId, from: IpAddr, now: Moment) {
+        self.acts.extend(self.house.arrive(now, Guest(client.0), from));
+    }
+
+    /// It was let in.
     pub fn came(&mut self, client: ClientId, now: Moment) {
         self.here.insert(client, Client { doing: Doing::Idle, new: true, since: now });
     }
 
-    pub fn gone(&mut self, client: ClientId) -> Option<Doing> {
+    /// What the house has asked for since it was last asked; whoever is to leave is marked so.
+    pub fn acts(&mut self) -> Vec<Act> {
+        let acts = std::mem::take(&mut self.acts);
+        for act in &acts {
+            if let Act::Leave(Guest(id)) = act {
+                self.here.entry(ClientId(*id)).and_modify(|client| client.doing = Doing::Leaving);
+            }
+        }
+        acts
+    }
+
+    fn stand(&mut self, client: ClientId, doing: Doing, now: Moment) {
+        let standing = match doing {
+            Doing::Idle => Standing::Idle,
+            Doing::Asking(_) => Standing::Asking,
+            Doing::Waiting(_) => Standing::Busy,
+            Doing::Leaving => Standing::Leaving,
+        };
+        self.acts.extend(self.house.stand(now, Guest(client.0), standing));
+    }
+
+    pub fn due(&self, now: Moment) -> Option<Moment> {
+        self.house.due(now)
+    }
+
+    pub fn tick(&mut self, now: Moment) {
+        self.acts.extend(self.house.tick(now));
+    }
+
+    pub fn ran_short(&mut self, now: Moment) {
+        self.acts.extend(self.house.ran_short(now));
+    }
+
+    pub fn set_most(&mut self, most: usize, now: Moment) {
+        self.acts.extend(self.house.set_most(now, most));
+    }
+
+    pub fn set_rules(&mut self, rules: HouseRules, now: Moment) {
+        self.acts.extend(self.house.set_rules(now, rules));
+    }
+
+    pub fn close(&mut self, now: Moment) {
+        self.acts.extend(self.house.close(now));
+    }
+
+    /// When those turned away at the door are told to come back, where the operator says so.
+    pub fn come_back(&self) -> Option<Span> {
+        self.house.rules().come_back
+    }
+
+    pub fn gone(&mut self, client: ClientId, now: Moment) -> Option<Doing> {
+        self.acts.extend(self.house.gone(now, Guest(client.0)));
         self.here.remove(&client).map(|client| client.doing)
     }
 
@@ -52,17 +116,19 @@
         self.here.get(&client).map(|client| client.doing)
     }
 
-    pub fn stirred(&mut self, client: ClientId, now: Moment) {
-        if let Some(client) = self.here.get_mut(&client) {
+    pub fn stirred(&mut self, client_id: ClientId, now: Moment) {
+        if let Some(client) = self.here.get_mut(&client_id) {
             client.doing = Doing::Asking(now);
             client.since = if client.new { client.since } else { now };
+            self.stand(client_id, Doing::Asking(now), now);
         }
     }
 
     /// A whole request has come, or its answer went out.
-    pub fn set(&mut self, client: ClientId, doing: Doing, now: Moment) {
-        if let Some(client) = self.here.get_mut(&client) {
+    pub fn set(&mut self, client_id: ClientId, doing: Doing, now: Moment) {
+        if let Some(client) = self.here.get_mut(&client_id) {
             *client = Client { doing, new: false, since: now };
+            self.stand(client_id, doing, now);
         }
     }
 
@@ -77,46 +143,19 @@
     }
 
     pub fn is_empty(&self) -> bool {
-        self.here.is_empty()
+        self.here.is_empty() && self.house.is_empty()
     }
 
-    /// More than half of the places are taken: answers end their connections, as idle ones hold places that
-    /// their clients and others could use.
     pub fn are_many(&self) -> bool {
-        self.here.len() * 2 > self.most
-    }
-
-    /// Whether somebody has to leave: all places are taken, by those who stay.
-    pub fn are_too_many(&self) -> bool {
-        let staying = self.here.values().filter(|client| client.doing != Doing::Leaving).count();
-        staying >= self.most
+        self.house.are_many()
     }
 
     /// All idle ones leave, but for the new ones that came later.
-    pub fn send_off_idle(&mut self, by: Moment) -> Vec<ClientId> {
+    pub fn send_off_idle(&mut self, by: Moment, now: Moment) -> Vec<ClientId> {
         let leaves = |client: &Client| client.doing == Doing::Idle && (!client.new || client.since <= by);
-        let idle = self.here.iter_mut().filter(|(_, client)| leaves(client));
-        idle.map(|(id, client)| {
-            client.doing = Doing::Leaving;
-            *id
-        })
-        .collect()
-    }
-
-    /// The one that has been idle, or half asked, longest leaves, if it has been so by then.
-    pub fn send_off_longest(&mut self, by: Moment) -> Option<ClientId> {
-        let still = |client: &Client| matches!(client.doing, Doing::Idle | Doing::Asking(_));
-        let still = self.here.iter_mut().filter(|(_, client)| still(client) && client.since <= by);
-        let (id, client) = still.min_by_key(|(_, client)| client.since)?;
-        client.doing = Doing::Leaving;
-        Some(*id)
-    }
-
-    /// Whether the door is to be opened or shut; none where it stands as it should.
-    pub fn door(&mut self) -> Option<bool> {
-        let full = self.here.len() >= self.most;
-        let changed = full != self.shut_out;
-        self.shut_out = full;
-        changed.then_some(!full)
+        let idle: Vec<ClientId> =
+            self.here.iter().filter(|(_, client)| leaves(client)).map(|(id, _)| *id).collect();
+        idle.iter().for_each(|client| self.set(*client, Doing::Leaving, now));
+        idle
     }
 }
--- a/crates/mixer/src/routing/event.rs
+++ b/crates/mixer/src/routing/event.rs
@@ -5,7 +5,8 @@
 use crate::protocol::lists::News;
 use crate::protocol::scans::{Ask, Blame};
 use fernglade::{Moment, Span};
-use std::net::SocketAddr;
+use fernglade_admission::HouseRules;
+use std::net::{IpAddr, SocketAddr};
 
 /// A client's connection. Never given twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -21,7 +22,8 @@
 
 #[derive(Clone, Debug)]
 pub enum Event {
-    ClientCame(ClientId),
+    /// A client's connection was accepted; whether it is let in is answered by an effect.
+    Knocked(ClientId, IpAddr),
     /// The first byte of a request has come.
     Stirred(ClientId),
     Asked(ClientId, Ask),
@@ -53,8 +55,10 @@
     StopAsked,
     /// A client could not be let in, or a searcher not be dialled, for want of a descriptor or memory.
     Short,
-    /// Who stood outside has been let in, and nobody listens any more.
+    /// Who stood outside has been accepted, and nobody listens any more.
     DoorShut,
+    /// The operator's rules of the house were changed.
+    Ruled(HouseRules),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -65,11 +69,15 @@
         reply: Reply,
         last: bool,
     },
+    /// Lets in a client that was accepted: it is read from now on.
+    LetIn(ClientId),
+    /// Tells a client that was accepted, and not let in, to come back later, and ends its connection.
+    TurnAway(ClientId, Span),
     /// Ends a client's connection.
     Dismiss(ClientId),
-    /// Whether new clients are let in; those that wait outside stay there.
+    /// Whether further clients are accepted; those that wait outside stay there.
     Door(bool),
-    /// No more clients: lets in who already stands outside, and stops listening.
+    /// No more clients: accepts who already stands outside, and stops listening.
     ShutDoor,
     Dial {
         link: LinkId,
--- a/crates/mixer/src/routing/mod.rs
+++ b/crates/mixer/src/routing/mod.rs
@@ -15,4 +15,4 @@
 
 pub use ending::Ending;
 pub use event::{CallId, ClientId, Effect, Event, LinkId, Reply};
-pub use state::{reduce, Berths, State};
+pub use state::{reduce, State};
--- a/crates/mixer/src/routing/pool.rs
+++ b/crates/mixer/src/routing/pool.rs
@@ -2,7 +2,7 @@
 
 use super::{CallId, LinkId};
 use fernglade::{Moment, Searcher, Ticket};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 /// Where a call stands.
@@ -74,6 +74,8 @@
 #[derive(Default)]
 pub struct Pool {
     pub links: BTreeMap<LinkId, Link>,
+    /// Let go, and not over yet: they hold a descriptor until they are.
+    pub closing: BTreeSet<LinkId>,
     /// Calls that a link carries at once, and parts that a call holds.
     pub per_link: usize,
     pub per_call: usize,
@@ -102,7 +104,9 @@
     pub fn drop_mute(&mut self, of: Searcher) -> Vec<LinkId> {
         let owes = |link: &mut Link| link.to == of && std::mem::take(&mut link.checking);
         let mute = self.links.extract_if(.., |_, link| owes(link) && link.is_idle());
-        mute.map(|(id, _)| id).collect()
+        let mute: Vec<LinkId> = mute.map(|(id, _)| id).collect();
+        self.closing.extend(&mute);
+        mute
     }
 
     /// The links to a searcher at its present address.
@@ -111,6 +115,11 @@
         self.links.iter().filter(move |(_, link)| here(link)).map(|(id, link)| (*id, link))
     }
 
+    /// Descriptors held by links, those that close included.
+    pub fn held(&self) -> usize {
+        self.links.len() + self.closing.len()
+    }
+
     pub fn is_full(&self) -> bool {
         self.links.len() >= self.most
     }
@@ -138,6 +147,9 @@
 
     /// Takes out the links on which nothing is going on.
     pub fn drop_idle(&mut self, of: impl Fn(&Link) -> bool) -> Vec<LinkId> {
-        self.links.extract_if(.., |_, link| link.is_idle() && of(link)).map(|(id, _)| id).collect()
+        let idle = self.links.extract_if(.., |_, link| link.is_idle() && of(link));
+        let idle: Vec<LinkId> = idle.map(|(id, _)| id).collect();
+        self.closing.extend(&idle);
+        idle
     }
 }
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -1,7 +1,7 @@
 //! The one place where state changes.
 
 use super::alarms::Alarm;
-use super::clients::{Doing, HALF_ASKED, SETTLING};
+use super::clients::{Clients, Doing, HALF_ASKED};
 use super::desk::{Desk, Open};
 use super::pool::Stand;
 use super::{ClientId, Effect, Ending, Event, LinkId, Reply};
@@ -11,6 +11,7 @@
 use crate::protocol::MOST_BODY;
 use fernglade::choice::Mixer;
 use fernglade::{Effect as Redoing, Host, Landing, Moment, PartTaken, ScanTaken, Span, Ticket, TrafficType};
+use fernglade_admission::{Act, Descriptors, Guest, HouseRules};
 use fernglade_fronts::{Misread, Readings};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -21,12 +22,8 @@
 /// Who stood outside when the door was shut has so long to ask.
 const LAST_CALL: Span = Span::of_millis(50);
 
-/// How many connections of each kind the descriptors allow.
-#[derive(Clone, Copy, Debug)]
-pub struct Berths {
-    pub clients: usize,
-    pub links: usize,
-}
+/// Who has just come is about to ask.
+const SETTLING: Span = Span::of_millis(100);
 
 pub struct State {
     mixer: Mixer,
@@ -38,24 +35,35 @@
     most_held: usize,
     /// No client comes any more, and none that is idle stays.
     last_call: bool,
+    descriptors: Descriptors,
+    /// When the door is next to be looked after.
+    door_due: Option<Moment>,
+    /// When those who are turned away at the door are to come back, where the platform lets us say so.
+    come_back: Span,
 }
 
 impl State {
-    pub fn new(readings: &Readings, seed: u64, berths: Berths) -> Result<Self, Misread> {
+    pub fn new(
+        readings: &Readings,
+        seed: u64,
+        descriptors: Descriptors,
+        rules: HouseRules,
+    ) -> Result<Self, Misread> {
         let types: Vec<_> = readings.names("services")?.into_iter().zip(readings.traffic_types()?).collect();
         if let Some((name, _)) = types.iter().find(|(_, kind)| kind.second_step) {
             return Err(Misread(format!("settings: {name}: a second step is not spoken on sockets")));
         }
-        let mut desk = Desk::default();
+        let mut desk = Desk { clients: Clients::new(rules, descriptors.clients), ..Desk::default() };
         desk.may_call_off = readings.yes("limits.cancel");
         desk.dial_within = readings.span("limits.dial_timeout")?;
-        desk.clients.most = berths.clients.max(1);
-        desk.pool.most = berths.links.max(1);
+        desk.pool.most = descriptors.links.max(1);
         desk.pool.per_link = readings.number("limits.multiplex", 1.0)?.max(1.0) as usize;
         desk.pool.per_call = readings.number("family_info.per_call", 1.0)?.max(1.0) as usize;
         let areas = readings.words("areas");
         desk.roll.dear_outside =
             readings.dear_outside()?.map(|zone| areas.get(usize::from(zone)).cloned().unwrap_or_default());
+        let says = readings.yes("limits.retry_after");
+        let come_back = if says { readings.span("limits.max_retry_after")? } else { Span::ZERO };
         Ok(Self {
             mixer: readings.mixer(seed)?,
             desk,
@@ -64,6 +72,9 @@
             shards: readings.number("family_info.slabs", 0.0)? as u32,
             most_held: readings.number("limits.max_open", 20_000.0)? as usize,
             last_call: false,
+            descriptors,
+            door_due: None,
+            come_back,
         })
     }
 
@@ -92,12 +103,42 @@
                 break;
             }
         }
+        self.mind_door();
         let desk = &mut self.desk;
-        desk.effects.extend(desk.clients.door().map(Effect::Door));
         desk.effects.extend(desk.alarms.changed().map(Effect::Alarm));
         std::mem::take(&mut desk.effects)
     }
 
+    /// Carries out what the house asks for, until it asks for nothing more.
+    fn mind_door(&mut self) {
+        let now = self.desk.now;
+        let places = self.descriptors.places_beside(self.desk.pool.held());
+        self.desk.clients.set_most(places, now);
+        for act in self.desk.clients.acts() {
+            match act {
+                Act::Enter(Guest(id)) => self.enter(ClientId(id)),
+                Act::Refuse(Guest(id), _) => {
+                    let pause = self.desk.clients.come_back().unwrap_or(self.come_back);
+                    self.desk.effects.push(Effect::TurnAway(ClientId(id), pause));
+                }
+                Act::Leave(Guest(id)) => self.desk.effects.push(Effect::Dismiss(ClientId(id))),
+                Act::Door(open) => self.desk.effects.push(Effect::Door(open)),
+            }
+        }
+        let due = self.desk.clients.due(now);
+        if let Some(at) = due.filter(|at| self.door_due.is_none_or(|set| *at < set || set <= now)) {
+            self.door_due = Some(at);
+            self.desk.alarms.set(at, Alarm::Door(at));
+        }
+    }
+
+    fn enter(&mut self, client: ClientId) {
+        let now = self.desk.now;
+        self.desk.clients.came(client, now);
+        self.desk.effects.push(Effect::LetIn(client));
+        self.await_whole(client, now);
+    }
+
     fn hear(&mut self, news: &News) {
         let listings = self.desk.roll.take(news);
         self.mixer.listed(&mut self.desk, news.whole, &listings);
@@ -164,7 +205,7 @@
     }
 
     fn client_gone(&mut self, client: ClientId) {
-        if let Some(Doing::Waiting(id)) = self.desk.clients.gone(client) {
+        if let Some(Doing::Waiting(id)) = self.desk.clients.gone(client, self.desk.now) {
             self.desk.close(id);
             self.mixer.client_left(&mut self.desk, id);
         }
@@ -238,10 +279,12 @@
 
     fn end_garbled(&mut self, id: LinkId) {
         self.link_ended(id, Ending::Garbled);
+        self.desk.pool.closing.insert(id);
         self.desk.effects.push(Effect::Cut(id));
     }
 
     fn link_ended(&mut self, id: LinkId, ending: Ending) {
+        self.desk.pool.closing.remove(&id);
         let Some(link) = self.desk.pool.links.remove(&id) else { return };
         let idle = ending == Ending::Ended && link.is_idle();
         let ending = if idle { Ending::ClosedIdle } else { ending };
@@ -260,21 +303,6 @@
         }
     }
 
-    /// Descriptors have run short in spite of the berths.
-    fn make_room(&mut self) -> bool {
-        let leaves = self.desk.clients.send_off_longest(self.desk.now.less(SETTLING));
-        self.desk.effects.extend(leaves.map(Effect::Dismiss));
-        leaves.is_some()
-    }
-
-    /// All berths for clients are taken: one makes room for who stands outside, if not at once then as soon as
-    /// one has settled.
-    fn make_berth(&mut self) {
-        if self.desk.clients.are_too_many() && !self.make_room() {
-            self.desk.alarms.set(self.desk.now + SETTLING, Alarm::MakeBerth);
-        }
-    }
-
     /// What has come from a client, since then, is to be whole in time.
     fn await_whole(&mut self, client: ClientId, since: Moment) {
         self.desk.alarms.set(since + HALF_ASKED, Alarm::HalfAsked(client, since));
@@ -292,11 +320,17 @@
                         self.desk.effects.push(Effect::Dismiss(client));
                     }
                 }
-                Alarm::MakeBerth => self.make_berth(),
+                Alarm::Door(due) => {
+                    if self.door_due == Some(due) {
+                        self.door_due = None;
+                        self.desk.clients.tick(self.desk.now);
+                    }
+                }
                 Alarm::HalfSaid(link, since) => self.half_said(link, since),
                 Alarm::ShutDoor => self.desk.effects.push(Effect::ShutDoor),
                 Alarm::LastCall => {
                     self.last_call = true;
+                    self.desk.clients.close(self.desk.now);
                     self.send_off_idle(self.desk.now);
                 }
             }
@@ -304,7 +338,7 @@
     }
 
     fn send_off_idle(&mut self, by: Moment) {
-        let idle = self.desk.clients.send_off_idle(by);
+        let idle = self.desk.clients.send_off_idle(by, self.desk.now);
         self.desk.effects.extend(idle.into_iter().map(Effect::Dismiss));
     }
 
@@ -322,11 +356,7 @@
 pub fn reduce(state: &mut State, event: Event, now: Moment) -> Vec<Effect> {
     state.desk.now = now;
     match event {
-        Event::ClientCame(client) => {
-            state.desk.clients.came(client, now);
-            state.await_whole(client, now);
-            state.make_berth();
-        }
+        Event::Knocked(client, from) => state.desk.clients.knocked(client, from, now),
         Event::Stirred(client) => {
             state.desk.clients.stirred(client, now);
             state.await_whole(client, now);
@@ -356,9 +386,8 @@
         Event::WatchBroke => state.mixer.watch(&mut state.desk, true),
         Event::TimeCame => state.time_came(),
         Event::StopAsked => state.stop(),
-        Event::Short => {
-            state.make_room();
-        }
+        Event::Short => state.desk.clients.ran_short(now),
+        Event::Ruled(rules) => state.desk.clients.set_rules(rules, now),
         Event::DoorShut => state.desk.alarms.set(now + LAST_CALL, Alarm::LastCall),
     }
     let mut effects = state.settle();
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -9,6 +9,6 @@
 
 pub use bell::Bell;
 pub use inbox::Inbox;
-pub use net::{dial, in_time, is_short, listen, Stream};
+pub use net::{accept, dial, in_time, is_short, listen, Accepted, Reserve, Stream};
 pub use outbox::Outbox;
 pub use pump::{linger, pump, Line, Stop};
--- /dev/null
+++ b/crates/orders/src/file.rs
@@ -0,0 +1,96 @@
+//! The file as a whole.
+
+use crate::admission::Admission;
+use fernglade_admission::HouseRules;
+use serde::Deserialize;
+use std::fmt;
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    admission: Admission,
+}
+
+/// What is wrong, and where.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Wrong {
+    pub line: Option<usize>,
+    /// The key's path, `admission.known[1]`; empty where the text is no JSON5.
+    pub key: String,
+    pub what: String,
+}
+
+impl fmt::Display for Wrong {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(line) = self.line {
+            write!(to, "line {line}: ")?;
+        }
+        if !self.key.is_empty() {
+            write!(to, "{}: ", self.key)?;
+        }
+        to.write_str(&self.what)
+    }
+}
+
+impl Operator {
+    /// Whole, or not at all.
+    pub fn read(text: &str) -> Result<Self, Wrong> {
+        let mut reader = json5::Deserializer::from_str(text);
+        let read: Result<Self, _> = serde_path_to_error::deserialize(&mut reader);
+        let operator = read.map_err(|error| {
+            let key = error.path().to_string();
+            let inner = error.into_inner();
+            let line = inner.position().map(|position| position.line + 1);
+            Wrong { line, key: if key == "." { String::new() } else { key }, what: inner.to_string() }
+        })?;
+        operator.admission.check().map_err(|(key, what)| Wrong { line: line_of(text, key), key: key.into(), what })?;
+        Ok(operator)
+    }
+
+    pub fn house(&self) -> HouseRules {
+        self.admission.house()
+    }
+}
+
+/// Where a key stands, for what is found wrong once all has been read: its last name as a word at a line's start.
+fn line_of(text: &str, key: &str) -> Option<usize> {
+    let name = key.rsplit('.').next()?;
+    let stands = |line: &str| {
+        let rest = line.trim_start().trim_start_matches(['{', '"', '\'', ' ']).strip_prefix(name);
+        rest.is_some_and(|rest| rest.trim_start_matches(['"', '\'', ' ']).starts_with(':'))
+    };
+    text.lines().position(stands).map(|at| at + 1)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::Operator;
+    use test_case::test_case;
+
+    #[test]
+    fn every_key_of_the_shipped_file_is_read_and_all_is_off_there() {
+        let text = include_str!("../../../deploy/operator.json5");
+        assert_eq!(Operator::read(text).unwrap().house(), Default::default());
+        // The same with each key's example taken out of its comment.
+        let on: String = text.lines().map(|line| line.replacen("//: ", "", 1) + "\n").collect();
+        let house = Operator::read(&on).unwrap().house();
+        assert!(house.per_caller.is_some() && house.per_prefix.is_some() && house.caller_pace.is_some());
+        assert!(house.whole_pace.is_some() && house.kept > 0.0 && house.for_open > 0.0 && house.come_back.is_some());
+        assert!(house.known.holds("10.20.3.4".parse().unwrap()));
+    }
+
+    #[test_case("{\n admission: {\n  per_adress: 3 } }", 3, "admission.per_adress", "per_address"; "an unknown key")]
+    #[test_case("{ admission: {\n kept: 1.5, known: ['::1'] } }", 2, "admission.kept", "a share from 0 to 1"; "a share over one")]
+    #[test_case("{ admission: {\n\n per_address: 'x' } }", 3, "admission.per_address", "expected"; "a text for a number")]
+    #[test_case("{ admission: { per_address: 0 } }", 1, "admission.per_address", "above 0"; "a cap of nobody")]
+    #[test_case("{ admission: { known: ['10.0.0.0/8',\n 'ten'] } }", 1, "admission.known", "a network such as"; "no network")]
+    #[test_case("{ admission: {\n retry_after: '3 apples' } }", 2, "admission.retry_after", "a time such as"; "no time")]
+    #[test_case("{ admission: {\n kept: 0.2 } }", 2, "admission.kept", "nobody is known"; "kept for nobody")]
+    #[test_case("{ admission: { per_address: 9,\n per_prefix: 3 } }", 2, "admission.per_prefix", "at least"; "a prefix below an address")]
+    #[test_case("{ admission: ", 1, "", "expected"; "half a file")]
+    fn what_is_wrong_is_told_with_line_key_and_what_was_expected(text: &str, line: usize, key: &str, says: &str) {
+        let wrong = Operator::read(text).unwrap_err();
+        assert!(wrong.key.starts_with(key) && wrong.what.contains(says), "{wrong}");
+        assert!(wrong.line.is_none_or(|told| told.abs_diff(line) <= 1), "{wrong}");
+    }
+}
