--- a/src/choice.rs
+++ b/src/choice.rs
@@ -235,7 +235,9 @@
         (average + (known - average) * self.fading(now, seat)).max(waits.as_f64())
     }
 
-    /// How long a part is out until it is late; sooner, it would be for who only stands still for a while.
+    /// How long a part is out until it is late: a quarter of the quoted time, so that there is time to go
+    /// elsewhere, and eight times the usual, so that one long part is not taken for a loss. Sooner, it
+    /// would be for who only stands still for a while.
     fn late(&self, quoted: Span) -> f64 {
         (quoted.as_f64() / 4.0).max(8.0 * self.typical).min(quoted.as_f64())
     }
@@ -328,7 +330,9 @@
         (Leg { to: searcher, left: now, pause: if stale { 0 } else { pause }, sort }, stale)
     }
 
-    /// What a relay's end tells of its searcher, and whether that seems to have died under the part.
+    /// What a relay's end tells of its searcher, and whether that seems to have died under the part. A part
+    /// in vain is a sample of its latency only where it took longer than usual, so that calling parts off
+    /// early (a scan that closed without them) does not make a searcher look quick.
     fn note_landed(&mut self, now: Moment, leg: &Leg, how: Landing, took: f64) -> bool {
         let (from, pause, kind, average) = (leg.to, leg.pause, leg.sort.0, self.average());
         let Some(seat) = self.seats.get_mut(&from) else { return false };
@@ -339,13 +343,15 @@
         let lost = in_vain || how == Landing::Dropped;
         seat.stood = if back { now } else { seat.stood };
         seat.passed = if back { seat.passed.max(leg.left) } else { seat.passed };
-        // What others went past, and quickly, is lost by itself: its searcher is not slow for it.
+        // What others went past, and quickly, is lost by itself: its searcher is not slow for it. Read as
+        // latency it would close a sound searcher for seconds; as a failure it weighs as often as it comes.
         let alone = in_vain && seat.passed > leg.left && took > 8.0 * seat.latency.unwrap_or(average);
         if back || lost {
             self.lost += (f64::from(lost) - self.lost) * 0.05;
             self.vain[pause] += (f64::from(lost) - self.vain[pause]) / 8.0;
         }
-        // Dropped as soon as it was used again, it had been closed before; and who is gone is no matter.
+        // Dropped as soon as it was used again (a twentieth of the least that a part takes), it had been
+        // closed before: that says nothing of the searcher. And who is not listed any more may well go down.
         let closed = how == Landing::Dropped && pause > 0 && took * 20.0 < self.shortest;
         let died = how == Landing::Dropped && !closed && seat.told.ready;
         // It answers what was sent after the loss, and has not started since: its connection broke, no more.
@@ -446,7 +452,8 @@
     lead: Span,
     /// Open scans; each leaves with its final answer.
     scans: BTreeMap<ScanId, Scan>,
-    /// What to do when a relay lands or a time comes; each is taken out by its one result.
+    /// What to do when a relay lands or a time comes; each is taken out by its one result. A wake whose
+    /// scan is over stays until its time, and then finds nobody.
     landings: Slab<Then<(Landing, Span)>>,
     wakes: Slab<Then<()>>,
 }
@@ -484,7 +491,8 @@
         let now = host.now();
         self.budget.note_taken(now, 1 + scan.parts.len());
         let Some(kind) = self.types.get(scan.traffic_type) else { return host.write_off(id) };
-        // A repeat with less left than its sort has at most has only the rest of the abandon time.
+        // A repeat with less left than its sort has at most has only the rest of the abandon time: its client
+        // counts from its first try, and so does what the scan is worth.
         let longest = self.door.longest_left.entry(scan.traffic_type).or_default();
         *longest = scan.left.max(*longest);
         let elapsed =
@@ -659,7 +667,10 @@
     }
 
     /// A late part is given up for another replica, and its connection trusted no more: against parts and
-    /// connections that fall silent alone. Hurts where work done is lost by it.
+    /// connections that fall silent alone. Only while as long again is left: a part that was late once may be
+    /// late there too, and where all are slow alike (eight times the usual is then most of the quoted time) a
+    /// second copy of the work comes too late to help and makes them slower. Hurts where work done is lost by
+    /// it: a searcher does not always stop at what is called off.
     fn hurry(&mut self, host: &mut dyn Host, id: ScanId, wait: Span) {
         let Some(scan) = self.scans.get(&id).filter(|s| s.ends.since(host.now()) >= wait) else { return };
         let out = |(at, part): (usize, &Part)| Some((at, part.out?, *part.tried.last()?));
@@ -686,7 +697,9 @@
         }
     }
 
-    /// The final answer, or the first of two, from what is in.
+    /// The final answer, or the first of two, from what is in: an answer where the floor is reached; a bounce
+    /// where trying again is harmless and no searchers seem to die of it; else a write-off, which promises
+    /// nothing. What is still out is called off first, so that nothing is sent after it.
     fn close(&mut self, host: &mut dyn Host, id: ScanId) {
         let Some(mut scan) = self.scans.remove(&id) else { return };
         self.call_off_all(host, &scan);
@@ -719,7 +732,8 @@
         scan.parts.iter().filter_map(|part| part.out).for_each(|(relay, _)| host.call_off(relay));
     }
 
-    /// The design's down mark: a connection failure sets it, a check that passes lifts it.
+    /// The design's down mark: a connection failure sets it, a check that passes or any word from it lifts
+    /// it. Parts that were out when a connection broke do not: they may have run, and count as failures.
     fn reached_or_not(&mut self, host: &mut dyn Host, searcher: Searcher, how: Landing) {
         if how == Landing::Unreached && self.roster.seats.get(&searcher).is_some_and(|s| s.down.is_none()) {
             self.check_later(host, searcher);
