Lost parts hold no room, and the first answers after a stall weigh half

A probe of the door and of parts given up: searchers stopped for half a second by turns and left what stood there unanswered; those parts counted against their limits (7 of 7.2, all 415 ms old and more), and latencies of 400 to 580 ms came down by an eighth an answer. Change: Seat::at_work leaves out parts that later ones went past and that are late by eight times the usual; Roster::learn weighs half an answer in an eighth of what is known. Stories that break without each.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -135,6 +135,12 @@
         self.out.chunk_by(|a, b| a == b).map(|call| call.len().div_ceil(per_call.max(1))).sum()
     }
 
+    /// Parts out that are at work there, as far as can be told: not those that left before `by` and that later
+    /// ones went past. They are lost one by one, and hold no room though they are waited for.
+    fn at_work(&self, by: Moment) -> usize {
+        self.out.iter().filter(|at| **at > by || **at > self.passed).count()
+    }
+
     fn has_turn(&self, now: Moment, every: f64) -> bool {
         now.since(self.sent).as_f64() >= self.turn * every
     }
@@ -250,12 +256,14 @@
     }
 
     /// Smooths in what a relay's end tells. An eighth, as in TCP: one odd part tells little, but one in vain
-    /// half; and the longer nothing was heard, the less the past counts.
+    /// half, and so does an answer in an eighth of what is known, which shows a stall that is over; and the
+    /// longer nothing was heard, the less the past counts. Hurts where stalls and answers take turns.
     fn learn(&mut self, now: Moment, searcher: Searcher, kind: usize, sample: Option<f64>, failed: bool) {
         let (shortest, fleet) = (self.shortest, self.cold.fleet);
         let held = self.fading(now, &self.seats[&searcher]);
         let Some(seat) = self.seats.get_mut(&searcher) else { return };
-        let part = (1.0 - held).max(if failed && sample.is_some() { 0.5 } else { 0.125 });
+        let stalled = |sample: f64| failed || seat.latency.is_some_and(|known| sample * 8.0 < known);
+        let part = (1.0 - held).max(if sample.is_some_and(stalled) { 0.5 } else { 0.125 });
         seat.heard = now;
         seat.failing.resize(seat.failing.len().max(kind + 1), 0.0);
         seat.failing[kind] += (f64::from(failed) - seat.failing[kind]) * part;
@@ -303,11 +311,13 @@
     fn room(&self, now: Moment, left: Span, shard: u32, worth: f64, parts: usize) -> bool {
         let left = left.as_f64() * (0.5 + 0.5 * worth).max(4.0 / self.cold.fleet).min(1.0);
         let rarer = 1.0 + 20.0 * self.lost * self.lost;
+        let by = now.less(Span::of_micros((8.0 * self.typical) as u64));
         let free = |s: &Seat| {
             let standing = self.standing(now, s);
             let least = if standing > 2.0 * self.shortest { 0.3 } else { 0.7 };
-            let room = s.limit * (least + (1.0 - least) * worth).min(1.0) - s.out.len() as f64;
-            let turn = s.out.is_empty() && s.has_turn(now, self.cold.fleet * self.shortest * rarer);
+            let room = s.limit * (least + (1.0 - least) * worth).min(1.0) - s.at_work(by) as f64;
+            let turn =
+                s.out.iter().all(|at| *at <= by) && s.has_turn(now, self.cold.fleet * self.shortest * rarer);
             let open = (turn || standing * 1.5 < left) && self.cold.has_room(s, self.shortest, now);
             f64::from(open) * room.max(0.0).ceil()
         };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -486,12 +486,58 @@
         story.pass(500);
         story.land_all(other, Landing::CalledOff);
         story.land_all(lost, Landing::CalledOff);
-        story.land_all(lost, Landing::Honoured);
+        if passed {
+            story.land_all(lost, Landing::Honoured);
+        }
     }
+    // Each has had its turn.
+    (0..3).for_each(|_| drop(story.scan(3)));
     let hurried = story.scan_weighing(&[1.0], 200, false);
     assert_eq!(story.host.ending(hurried).is_none(), taken);
 }
 
+/// Searchers that lost part after part, and answered those around them, once had no room for more: what was lost
+/// counted against their limits until its scan ended.
+#[test]
+fn parts_lost_alone_hold_no_room_at_their_searcher() {
+    let mut story = story(whole_only());
+    story.settle_in(5);
+    for _ in 0..30 {
+        story.scan(3);
+        story.pass(5);
+        let answered = story.scan(3);
+        story.pass(7);
+        story.land_all(answered, Landing::Honoured);
+    }
+    story.pass(100);
+    let next = story.scan(3);
+    assert_eq!(story.out(next).len(), 3);
+}
+
+/// After a stall that all replicas shared, a part at a time was tried for long: each answer weighed an eighth.
+#[test]
+fn a_few_quick_answers_after_a_stall_show_that_it_is_over() {
+    let mut story = story(whole_only());
+    story.settle_in(5);
+    for _ in 0..2 {
+        let stalled = story.scan(3);
+        story.pass(450);
+        story.land_all(stalled, Landing::CalledOff);
+        story.pass(5);
+        story.land_all(stalled, Landing::CalledOff);
+        story.pass(2_000);
+    }
+    for _ in 0..2 {
+        let tried = story.scan(3);
+        story.pass(5);
+        story.land_all(tried, Landing::Honoured);
+        story.pass(20);
+    }
+    story.scan(3);
+    let hurried = story.scan_weighing(&[1.0], 200, false);
+    assert_eq!(story.host.ending(hurried), None);
+}
+
 /// A failure was once read as the whole quoted time: few of them at half of the searchers left the others to
 /// queue, though a late part goes on elsewhere.
 #[test]
