--- a/src/choice.rs
+++ b/src/choice.rs
@@ -135,8 +135,8 @@
         self.out.chunk_by(|a, b| a == b).map(|call| call.len().div_ceil(per_call.max(1))).sum()
     }
 
-    /// Parts out that are at work there, as far as can be told: not those that left before `by` and that later
-    /// ones went past. They are lost one by one, and hold no room though they are waited for.
+    /// Parts out that are at work there, as far as can be told: not those that left before `by` and that
+    /// later ones went past. They are lost one by one, and hold no room though they are waited for.
     fn at_work(&self, by: Moment) -> usize {
         self.out.iter().filter(|at| **at > by || **at > self.passed).count()
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -491,7 +491,9 @@
         }
     }
     // Each has had its turn.
-    (0..3).for_each(|_| drop(story.scan(3)));
+    for _ in 0..3 {
+        story.scan(3);
+    }
     let hurried = story.scan_weighing(&[1.0], 200, false);
     assert_eq!(story.host.ending(hurried).is_none(), taken);
 }
@@ -521,10 +523,10 @@
     story.settle_in(5);
     for _ in 0..2 {
         let stalled = story.scan(3);
-        story.pass(450);
-        story.land_all(stalled, Landing::CalledOff);
-        story.pass(5);
-        story.land_all(stalled, Landing::CalledOff);
+        for _ in 0..3 {
+            story.pass(450);
+            story.land_all(stalled, Landing::CalledOff);
+        }
         story.pass(2_000);
     }
     for _ in 0..2 {
@@ -533,7 +535,10 @@
         story.land_all(tried, Landing::Honoured);
         story.pass(20);
     }
-    story.scan(3);
+    // Each has had its turn.
+    for _ in 0..3 {
+        story.scan(3);
+    }
     let hurried = story.scan_weighing(&[1.0], 200, false);
     assert_eq!(story.host.ending(hurried), None);
 }
