--- a/crates/admission/src/guests.rs
+++ b/crates/admission/src/guests.rs
@@ -97,8 +97,14 @@
 
     /// Lines of all tables; nothing is left of those who have gone.
     pub fn table_lines(&self) -> usize {
-        let by_known = |known: usize| self.still[known].len() + self.ranks[known].len() + self.of[known].len();
-        self.lines.len() + self.callers.len() + self.prefixes.len() + self.porch.len() + by_known(0) + by_known(1)
+        let by_known =
+            |known: usize| self.still[known].len() + self.ranks[known].len() + self.of[known].len();
+        self.lines.len()
+            + self.callers.len()
+            + self.prefixes.len()
+            + self.porch.len()
+            + by_known(0)
+            + by_known(1)
     }
 
     /// The one still longest, of all.
@@ -148,7 +154,9 @@
                 self.callers.remove(&line.caller);
             }
         }
-        if let Some((prefix, count)) = line.caller.prefix().and_then(|p| Some((p, self.prefixes.get_mut(&p)?))) {
+        if let Some((prefix, count)) =
+            line.caller.prefix().and_then(|p| Some((p, self.prefixes.get_mut(&p)?)))
+        {
             *count -= 1;
             if *count == 0 {
                 self.prefixes.remove(&prefix);
--- a/crates/admission/src/house.rs
+++ b/crates/admission/src/house.rs
@@ -191,7 +191,8 @@
     /// On a full porch: the latest unknown one, for a known one; else the latest of the caller that holds most,
     /// if it would still hold as many as the newcomer's then. None where nobody has that much more.
     fn turn_to_take(&self, caller: Caller, known: bool) -> Option<Guest> {
-        let held = |guest: Guest| self.guests.get(guest).map_or(0, |line| self.guests.tally(line.caller).held);
+        let held =
+            |guest: Guest| self.guests.get(guest).map_or(0, |line| self.guests.tally(line.caller).held);
         let weaker = self.guests.porch().filter(|(_, other)| !self.is_known(*other));
         let (_, guest) = weaker.max_by_key(|(since, other)| (held(*other), *since, *other))?;
         let fewer = self.guests.tally(caller).held + 2 <= held(guest);
@@ -226,9 +227,8 @@
         let settled = |since: Moment| now.since(since) >= SETTLING;
         let greatest = self.guests.greatest(false);
         let greatest = greatest.into_iter().chain(self.guests.greatest(true).filter(|_| !spares_known));
-        let greatest = greatest.max_by_key(|(count, since, guest)| {
-            (*count, std::cmp::Reverse((*since, *guest)))
-        });
+        let greatest =
+            greatest.max_by_key(|(count, since, guest)| (*count, std::cmp::Reverse((*since, *guest))));
         let longest = self.guests.longest(false).into_iter();
         let longest = longest.chain(self.guests.longest(true).filter(|_| !spares_known)).min();
         let held = newcomer.map_or(0, |(caller, _)| self.guests.tally(caller).held);
--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -2,10 +2,10 @@
 
 use super::hub::Hub;
 use crate::protocol::http::{Fault, Reader, MOST_UNREAD};
+use crate::protocol::scans::bounce;
 use crate::protocol::scans::{question, Blame, Question};
 use crate::protocol::MOST_BODY;
 use crate::routing::{ClientId, Event};
-use crate::protocol::scans::bounce;
 use crate::transport::{accept, is_short, linger, pump, Accepted, Bell, Inbox, Line, Reserve, Stop, Stream};
 use async_io::{Async, Timer};
 use futures_lite::future;
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -53,7 +53,8 @@
         if let Some((name, _)) = types.iter().find(|(_, kind)| kind.second_step) {
             return Err(Misread(format!("settings: {name}: a second step is not spoken on sockets")));
         }
-        let mut desk = Desk { clients: Clients::new(rules, descriptors.clients), ..Desk::default() };
+        let mut desk = Desk::default();
+        desk.clients = Clients::new(rules, descriptors.clients);
         desk.may_call_off = readings.yes("limits.cancel");
         desk.dial_within = readings.span("limits.dial_timeout")?;
         desk.pool.most = descriptors.links.max(1);
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -593,7 +593,10 @@
     let busy = play.ask(ask("a", "look", &[0]));
     assert!(!play.did(&Effect::Dismiss(first)), "nobody waits yet");
     let third = play.come();
-    assert!(play.did(&Effect::Dismiss(first)) && !play.did(&Effect::LetIn(third)), "it is to have that place");
+    assert!(
+        play.did(&Effect::Dismiss(first)) && !play.did(&Effect::LetIn(third)),
+        "it is to have that place"
+    );
     play.feed(Event::ClientGone(first));
     assert!(play.did(&Effect::LetIn(third)));
     play.feed(Event::Stirred(third));
--- a/crates/mixer/src/transport/net.rs
+++ b/crates/mixer/src/transport/net.rs
@@ -2,9 +2,9 @@
 
 use async_io::{Async, Timer};
 use futures_lite::future;
+use std::fs::File;
 use std::future::Future;
 use std::io;
-use std::fs::File;
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
--- a/crates/orders/src/admission.rs
+++ b/crates/orders/src/admission.rs
@@ -43,14 +43,20 @@
     /// What can't hold together, by key.
     pub fn check(&self) -> Result<(), (&'static str, String)> {
         if self.kept > 0.0 && self.known.is_empty() {
-            return Err(("admission.kept", "places are kept and nobody is known: name networks in admission.known".into()));
+            return Err((
+                "admission.kept",
+                "places are kept and nobody is known: name networks in admission.known".into(),
+            ));
         }
         if self.for_open >= 1.0 {
             return Err(("admission.for_open", "nobody could ask: expected a share below 1".into()));
         }
         if let (Some(one), Some(all)) = (self.per_address, self.per_prefix) {
             if one > all {
-                return Err(("admission.per_prefix", format!("is below admission.per_address, {one}: expected as many at least")));
+                return Err((
+                    "admission.per_prefix",
+                    format!("is below admission.per_address, {one}: expected as many at least"),
+                ));
             }
         }
         Ok(())
--- a/crates/orders/src/file.rs
+++ b/crates/orders/src/file.rs
@@ -43,7 +43,11 @@
             let line = inner.position().map(|position| position.line + 1);
             Wrong { line, key: if key == "." { String::new() } else { key }, what: inner.to_string() }
         })?;
-        operator.admission.check().map_err(|(key, what)| Wrong { line: line_of(text, key), key: key.into(), what })?;
+        operator.admission.check().map_err(|(key, what)| Wrong {
+            line: line_of(text, key),
+            key: key.into(),
+            what,
+        })?;
         Ok(operator)
     }
 
@@ -75,7 +79,12 @@
         let on: String = text.lines().map(|line| line.replacen("//: ", "", 1) + "\n").collect();
         let house = Operator::read(&on).unwrap().house();
         assert!(house.per_caller.is_some() && house.per_prefix.is_some() && house.caller_pace.is_some());
-        assert!(house.whole_pace.is_some() && house.kept > 0.0 && house.for_open > 0.0 && house.come_back.is_some());
+        assert!(
+            house.whole_pace.is_some()
+                && house.kept > 0.0
+                && house.for_open > 0.0
+                && house.come_back.is_some()
+        );
         assert!(house.known.holds("10.20.3.4".parse().unwrap()));
     }
 
@@ -88,7 +97,12 @@
     #[test_case("{ admission: {\n kept: 0.2 } }", 2, "admission.kept", "nobody is known"; "kept for nobody")]
     #[test_case("{ admission: { per_address: 9,\n per_prefix: 3 } }", 2, "admission.per_prefix", "at least"; "a prefix below an address")]
     #[test_case("{ admission: ", 1, "", "expected"; "half a file")]
-    fn what_is_wrong_is_told_with_line_key_and_what_was_expected(text: &str, line: usize, key: &str, says: &str) {
+    fn what_is_wrong_is_told_with_line_key_and_what_was_expected(
+        text: &str,
+        line: usize,
+        key: &str,
+        says: &str,
+    ) {
         let wrong = Operator::read(text).unwrap_err();
         assert!(wrong.key.starts_with(key) && wrong.what.contains(says), "{wrong}");
         assert!(wrong.line.is_none_or(|told| told.abs_diff(line) <= 1), "{wrong}");
--- a/crates/orders/src/units.rs
+++ b/crates/orders/src/units.rs
@@ -8,7 +8,8 @@
 pub fn span<'de, D: Deserializer<'de>>(from: D) -> Result<Option<Span>, D::Error> {
     let text = String::deserialize(from)?;
     let time = humantime::parse_duration(&text);
-    let time = time.map_err(|_| Error::invalid_value(Unexpected::Str(&text), &"a time such as \"250ms\" or \"2s\""))?;
+    let time = time
+        .map_err(|_| Error::invalid_value(Unexpected::Str(&text), &"a time such as \"250ms\" or \"2s\""))?;
     Ok(Some(Span::of_micros(time.as_micros().min(u128::from(u64::MAX)) as u64)))
 }
 
@@ -24,7 +25,10 @@
 /// A number of connections; at least one.
 pub fn count<'de, D: Deserializer<'de>>(from: D) -> Result<Option<usize>, D::Error> {
     match u32::deserialize(from)? {
-        0 => Err(Error::invalid_value(Unexpected::Unsigned(0), &"a whole number above 0 (leave the key out for no cap)")),
+        0 => Err(Error::invalid_value(
+            Unexpected::Unsigned(0),
+            &"a whole number above 0 (leave the key out for no cap)",
+        )),
         count => Ok(Some(count as usize)),
     }
 }
@@ -35,5 +39,8 @@
     if pace > 0.0 && pace.is_finite() {
         return Ok(Some(pace));
     }
-    Err(Error::invalid_value(Unexpected::Float(pace), &"a number a second above 0 (leave the key out for no limit)"))
+    Err(Error::invalid_value(
+        Unexpected::Float(pace),
+        &"a number a second above 0 (leave the key out for no limit)",
+    ))
 }
