Tasks take a handle; the hub alone maps effects to tasks

Need: hub, clients, links and watch knew each other in a circle, and connection admission had to touch all of them. No behaviour changed.

--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -1,13 +1,13 @@
 //! Clients: let in, read, and answered, one request at a time on each connection.
 
-use super::hub::Hub;
+use super::handle::Handle;
 use crate::protocol::http::{Fault, Reader, MOST_UNREAD};
-use crate::protocol::scans::bounce;
-use crate::protocol::scans::{question, Blame, Question};
+use crate::protocol::scans::{self, bounce, question, Blame, Question};
 use crate::protocol::MOST_BODY;
-use crate::routing::{ClientId, Event};
+use crate::routing::{ClientId, Event, Reply};
 use crate::transport::{accept, is_short, linger, pump, Accepted, Bell, Inbox, Line, Reserve, Stop, Stream};
 use async_io::{Async, Timer};
+use fernglade::Span;
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -34,54 +34,113 @@
 /// How often those who are being told are looked at.
 const TELLING_TURN: Duration = Duration::from_millis(5);
 
-/// Whether clients are accepted, and those that were and have no place yet.
+/// Whether clients are accepted.
 #[derive(Default)]
-pub struct Door {
+struct Door {
     full: Cell<bool>,
     shut: Cell<bool>,
     moved: Bell,
-    porch: RefCell<BTreeMap<ClientId, TcpStream>>,
 }
 
 impl Door {
-    pub fn open(&self, open: bool) {
-        self.full.set(!open);
+    fn move_to(&self, which: &Cell<bool>, to: bool) {
+        which.set(to);
         self.moved.ring();
     }
+}
 
-    pub fn shut(&self) {
-        self.shut.set(true);
-        self.moved.ring();
+/// All clients' connections: those that were accepted and have no place yet, those inside, and those that hear a
+/// refusal.
+pub struct Clients {
+    door: Door,
+    porch: RefCell<BTreeMap<ClientId, TcpStream>>,
+    inside: RefCell<BTreeMap<ClientId, Rc<Talk>>>,
+    teller: Teller,
+    /// When those refused last were to come back; for those refused where no descriptor is left.
+    come_back: Cell<Span>,
+}
+
+impl Clients {
+    /// So many may stand half closed until they have fetched their refusal.
+    pub fn new(most_told: usize) -> Self {
+        Self {
+            door: Door::default(),
+            porch: RefCell::default(),
+            inside: RefCell::default(),
+            teller: Teller::new(most_told),
+            come_back: Cell::new(Span::ZERO),
+        }
     }
 
-    pub fn take(&self, client: ClientId) -> Option<TcpStream> {
-        self.porch.borrow_mut().remove(&client)
+    pub fn open_door(&self, open: bool) {
+        self.door.move_to(&self.door.full, !open);
+    }
+
+    pub fn shut_door(&self) {
+        self.door.move_to(&self.door.shut, true);
     }
-}
 
-/// Lets in one that waits on the porch.
-pub fn let_in(hub: &Rc<Hub>, client: ClientId) {
-    match hub.door.take(client).map(Async::new) {
-        Some(Ok(stream)) => hub.spawn(serve(hub.clone(), client, stream)),
-        _ => hub.feed(Event::ClientGone(client)),
+    /// Lets in one that waits on the porch.
+    pub fn let_in(self: &Rc<Self>, handle: &Handle, client: ClientId) {
+        let stream = self.porch.borrow_mut().remove(&client);
+        match stream.map(Async::new) {
+            Some(Ok(stream)) => handle.spawn(serve(self.clone(), handle.clone(), client, stream)),
+            _ => handle.feed(Event::ClientGone(client)),
+        }
+    }
+
+    pub fn turn_away(&self, client: ClientId, pause: Span) {
+        self.come_back.set(pause);
+        if let Some(stream) = self.porch.borrow_mut().remove(&client) {
+            self.teller.tell(stream, &bounce(pause, true));
+        }
+    }
+
+    pub fn dismiss(&self, client: ClientId) {
+        self.with(client, |talk| talk.line.dismiss());
+    }
+
+    pub fn reply(&self, handle: &Handle, client: ClientId, reply: &Reply, last: bool) {
+        self.with(client, |talk| {
+            let last = last || talk.is_last.get();
+            let bytes = match reply {
+                Reply::Answer { whole, values } => scans::answer(*whole, values, last),
+                Reply::Bounce(pause) => bounce(*pause, last),
+                Reply::WriteOff => scans::write_off(last),
+                Reply::Health(ready) => scans::health(*ready, last),
+                Reply::Refusal(why) if !last => {
+                    return handle.spawn(talk.clone().blame(scans::refusal(why, last)));
+                }
+                Reply::Refusal(why) => scans::refusal(why, last),
+            };
+            talk.answer(bytes, last);
+        });
+    }
+
+    fn with(&self, client: ClientId, act: impl FnOnce(&Rc<Talk>)) {
+        let talk = self.inside.borrow().get(&client).cloned();
+        if let Some(talk) = talk {
+            act(&talk);
+        }
     }
 }
 
-pub async fn accept_all(hub: Rc<Hub>, listener: Async<TcpListener>) {
-    let mut count = 0;
+/// Accepts whoever stands outside, in batches, as long as the door is open.
+pub async fn accept_all(clients: Rc<Clients>, handle: Handle, listener: Async<TcpListener>) {
+    let (mut count, mut short, mut reserve) = (0, false, Reserve::default());
+    let door = &clients.door;
     let mut knock = |accepted: Accepted| {
         count += 1;
         let client = ClientId(count);
-        hub.door.porch.borrow_mut().insert(client, accepted.stream);
-        hub.feed(Event::Knocked(client, accepted.from));
+        clients.porch.borrow_mut().insert(client, accepted.stream);
+        handle.feed(Event::Knocked(client, accepted.from));
     };
-    let (mut short, mut reserve) = (false, Reserve::default());
-    while !hub.door.shut.get() {
+    while !door.shut.get() {
         let moved = async {
-            hub.door.moved.wait().await;
+            door.moved.wait().await;
             false
         };
-        if hub.door.full.get() {
+        if door.full.get() {
             moved.await;
             continue;
         }
@@ -100,10 +159,10 @@
                         if !std::mem::replace(&mut short, true) {
                             log::warn!("no client can be let in: {error}");
                         }
-                        hub.feed(Event::Short);
+                        handle.feed(Event::Short);
                         // Whoever is at the door hears so, rather than waiting for what may not come.
                         if let Some(accepted) = reserve.accept(listener.get_ref()) {
-                            refuse(&accepted.stream, &bounce(hub.come_back.get(), true));
+                            refuse(&accepted.stream, &bounce(clients.come_back.get(), true));
                         }
                         reserve.restore();
                     }
@@ -111,7 +170,7 @@
                     break;
                 }
             }
-            if hub.door.full.get() || hub.door.shut.get() {
+            if door.full.get() || door.shut.get() {
                 break;
             }
         }
@@ -122,7 +181,7 @@
         knock(accepted);
     }
     drop(listener);
-    hub.feed(Event::DoorShut);
+    handle.feed(Event::DoorShut);
 }
 
 /// What has come is thrown away, as far as it is here, and the refusal written: closing upon unread bytes would
@@ -144,18 +203,18 @@
 
 /// Those who were turned away and may not have fetched the refusal yet: so many at most, past which the one told
 /// longest goes. One task looks after all of them.
-pub struct Teller {
+struct Teller {
     told: RefCell<VecDeque<(TcpStream, Instant)>>,
     most: usize,
     bell: Bell,
 }
 
 impl Teller {
-    pub fn new(most: usize) -> Self {
+    fn new(most: usize) -> Self {
         Self { told: RefCell::default(), most: most.max(1), bell: Bell::default() }
     }
 
-    pub fn tell(&self, stream: TcpStream, refusal: &[u8]) {
+    fn tell(&self, stream: TcpStream, refusal: &[u8]) {
         if refuse(&stream, refusal) {
             let mut told = self.told.borrow_mut();
             if told.len() == self.most {
@@ -168,27 +227,28 @@
 }
 
 /// Lets go of those who have fetched their refusal, and of who takes too long.
-pub async fn tell_all(hub: Rc<Hub>) {
+pub async fn tell_all(clients: Rc<Clients>) {
+    let teller = &clients.teller;
     loop {
-        if hub.teller.told.borrow().is_empty() {
-            hub.teller.bell.wait().await;
+        if teller.told.borrow().is_empty() {
+            teller.bell.wait().await;
         }
         Timer::after(TELLING_TURN).await;
-        hub.teller.told.borrow_mut().retain(|(stream, since)| since.elapsed() < TELLING && waste(stream));
+        teller.told.borrow_mut().retain(|(stream, since)| since.elapsed() < TELLING && waste(stream));
     }
 }
 
 /// One client's connection, as others see it.
-pub struct Talk {
-    pub line: Line,
+struct Talk {
+    line: Line,
     /// A request is being answered.
     answering: Cell<bool>,
     /// The client wants no more than this answer.
-    pub is_last: Cell<bool>,
+    is_last: Cell<bool>,
 }
 
 impl Talk {
-    pub fn answer(&self, bytes: Vec<u8>, last: bool) {
+    fn answer(&self, bytes: Vec<u8>, last: bool) {
         let room = self.line.outbox.push(0, bytes);
         if last || !room {
             self.line.close();
@@ -202,7 +262,7 @@
     }
 
     /// The same for one who asked for what makes no sense, and may ask on.
-    pub async fn blame(self: Rc<Self>, bytes: Vec<u8>) {
+    async fn blame(self: Rc<Self>, bytes: Vec<u8>) {
         if !self.line.outbox.push(0, bytes) {
             self.line.close();
         }
@@ -211,21 +271,21 @@
     }
 }
 
-async fn serve(hub: Rc<Hub>, client: ClientId, stream: Stream) {
+async fn serve(clients: Rc<Clients>, handle: Handle, client: ClientId, stream: Stream) {
     let _ = stream.get_ref().set_nodelay(true);
     let (line, answering, is_last) = (Line::new(MOST_WAITING), Cell::new(false), Cell::new(false));
     let talk = Rc::new(Talk { line, answering, is_last });
-    hub.clients.borrow_mut().insert(client, talk.clone());
+    clients.inside.borrow_mut().insert(client, talk.clone());
     let mut listening = Listening { reader: Reader::default(), stirred: false, lost: false };
-    let read = |inbox: &mut Inbox| listening.read(&hub, client, &talk, inbox);
+    let read = |inbox: &mut Inbox| listening.read(&handle, client, &talk, inbox);
     let stop = pump(&stream, &talk.line, Inbox::new(MOST_UNREAD), read, |_| ()).await;
     if matches!(stop, Stop::Closed) && listening.lost {
         linger(&stream, LINGER.0, LINGER.1).await;
     }
-    hub.clients.borrow_mut().remove(&client);
+    clients.inside.borrow_mut().remove(&client);
     // Before the event: the last to leave may end the program.
     drop(stream);
-    hub.feed(Event::ClientGone(client));
+    handle.feed(Event::ClientGone(client));
 }
 
 struct Listening {
@@ -237,12 +297,12 @@
 }
 
 impl Listening {
-    fn read(&mut self, hub: &Rc<Hub>, client: ClientId, talk: &Talk, inbox: &mut Inbox) -> ControlFlow<()> {
+    fn read(&mut self, handle: &Handle, client: ClientId, talk: &Talk, inbox: &mut Inbox) -> ControlFlow<()> {
         // One at a time: the next is looked at when this one's answer is on its way.
         while !talk.line.is_closing() && !talk.answering.get() {
             if !self.stirred && self.reader.is_amid(inbox.unread()) {
                 self.stirred = true;
-                hub.feed(Event::Stirred(client));
+                handle.feed(Event::Stirred(client));
             }
             let event = match self.reader.read(inbox.unread()) {
                 Ok((used, message)) => {
@@ -264,7 +324,7 @@
             };
             self.stirred = false;
             talk.answering.set(true);
-            hub.feed(event);
+            handle.feed(event);
         }
         ControlFlow::Continue(())
     }
--- /dev/null
+++ b/crates/mixer/src/program/handle.rs
@@ -0,0 +1,29 @@
+//! What a task is given of the program: a way to tell what has happened, and to start a further task. Tasks know
+//! nothing of each other, nor of the hub, which alone maps effects to them.
+
+use crate::routing::Event;
+use async_executor::LocalExecutor;
+use std::future::Future;
+use std::rc::Rc;
+
+#[derive(Clone)]
+pub struct Handle {
+    executor: Rc<LocalExecutor<'static>>,
+    feed: Rc<dyn Fn(Event)>,
+}
+
+impl Handle {
+    pub fn new(executor: Rc<LocalExecutor<'static>>, feed: impl Fn(Event) + 'static) -> Self {
+        Self { executor, feed: Rc::new(feed) }
+    }
+
+    /// Tells what has happened. What follows from it is done before this returns, unless it is told amid the
+    /// doing of another event: then once that is through.
+    pub fn feed(&self, event: Event) {
+        (self.feed)(event);
+    }
+
+    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.executor.spawn(task).detach();
+    }
+}
--- a/crates/mixer/src/program/mod.rs
+++ b/crates/mixer/src/program/mod.rs
@@ -2,6 +2,7 @@
 
 mod clients;
 mod clock;
+mod handle;
 mod hub;
 mod links;
 mod orders;
--- a/crates/mixer/src/program/watch.rs
+++ b/crates/mixer/src/program/watch.rs
@@ -1,6 +1,6 @@
 //! Discovery: one call after another on one connection, each as soon as it is wished for.
 
-use super::hub::Hub;
+use super::handle::Handle;
 use crate::protocol::http::{get, Message, Reader, MOST_UNREAD};
 use crate::protocol::json::Json;
 use crate::protocol::lists::{news, watch_path, whole_path, News};
@@ -41,16 +41,16 @@
 }
 
 /// A further wish ends the call under way, whose answer could only be old.
-pub async fn keep(hub: Rc<Hub>) {
+pub async fn keep(wishes: Rc<Wish>, handle: Handle) {
     let mut silent = false;
-    let mut wish = hub.watch.next().await;
+    let mut wish = wishes.next().await;
     let mut agent = Agent { at: wish.0, stream: None };
     loop {
         let (at, after) = wish;
         if agent.at != at {
             agent = Agent { at, stream: None };
         }
-        let other = async { Err(hub.watch.next().await) };
+        let other = async { Err(wishes.next().await) };
         let event = match future::or(other, async { Ok(agent.ask(after).await) }).await {
             Err(other) => {
                 (agent.stream, wish) = (None, other);
@@ -70,8 +70,8 @@
                 Event::WatchBroke
             }
         };
-        hub.feed(event);
-        wish = hub.watch.next().await;
+        handle.feed(event);
+        wish = wishes.next().await;
     }
 }
 
