--- /dev/null
+++ b/crates/dialect/src/lib.rs
@@ -0,0 +1,21 @@
+//! The OpenSearch-style query API: requests read and checked, shards' answers merged, answers written. Pure: bytes and
+//! trees in, values or a [`Fault`] out. No socket, no clock, no index or class by name.
+//!
+//! - [`node`]: JSON as a tree that keeps what a careless reader would lose (a name that stands twice)
+//! - [`fault`]: what is wrong, in the dialect's words
+//! - [`endpoint`]: method and target to what is asked for
+//! - [`query`], [`search`], [`aggregation`]: the query language, as far as it is spoken; the rest is refused by name
+//! - [`merge`]: the best of many shards, totals that add up, buckets with the errors they owe
+//! - [`answer`]: what a client is told
+
+pub mod aggregation;
+pub mod answer;
+pub mod endpoint;
+pub mod fault;
+pub mod merge;
+pub mod node;
+pub mod query;
+pub mod search;
+
+pub use fault::{Fault, Kind};
+pub use node::Node;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,11 +5,13 @@
 //! - [`discovery`]: the list of searchers, given once or as told
 //! - [`child`]: orders, the operator's file, a mixer's life from start to end
 //! - [`client`]: one connection, from any loopback address
+//! - [`cues`]: a shard with a small index, for those who speak the query dialect
 //! - [`crowd`]: thousands of connections that misbehave, bounded in count and time
 
 pub mod child;
 pub mod client;
 pub mod crowd;
+pub mod cues;
 pub mod discovery;
 pub mod searcher;
 
