The query dialect from clients: the same scans through the same reduce, off by default

Change: crates/dialect reads whole requests and nodes' answers; routing/query.rs makes scans of them and answers of their ends, and a node that half understands is a failed part; the operator's file names indices; an edit that may have run is never told 429 or 503.

--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -6,15 +6,20 @@
 //! - [`endpoint`]: method and target to what is asked for
 //! - [`query`], [`search`], [`aggregation`]: the query language, as far as it is spoken; the rest is refused by name
 //! - [`merge`]: the best of many shards, totals that add up, buckets with the errors they owe
+//! - [`request`]: a whole request
+//! - [`errand`], [`reply`]: one shard's part as a node is asked, and what its answer is worth
 //! - [`answer`]: what a client is told
 
 pub mod aggregation;
 pub mod answer;
 pub mod endpoint;
+pub mod errand;
 pub mod fault;
 pub mod merge;
 pub mod node;
 pub mod query;
+pub mod reply;
+pub mod request;
 pub mod search;
 
 pub use fault::{Fault, Kind};
--- /dev/null
+++ b/crates/dialect/src/request.rs
@@ -0,0 +1,236 @@
+//! A whole request, from method, target, headers and body.
+
+use crate::endpoint::{endpoint, preferred, Endpoint, Parameters};
+use crate::fault::{Fault, Kind};
+use crate::query::fields;
+use crate::search::{Search, Totals};
+use crate::Node;
+use fernglade::Span;
+use serde_json::json;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    pub what: What,
+    /// The shards that are preferred, where any are.
+    pub shards: Option<Vec<u32>>,
+    /// Whether a partial answer will do; the index's word stands where nothing is said.
+    pub partial: Option<bool>,
+    pub timeout: Option<Span>,
+    /// Handed back as it came.
+    pub opaque: Option<String>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum What {
+    Root,
+    Health,
+    Search {
+        index: String,
+        search: Search,
+    },
+    /// As a search that gives no hits.
+    Count {
+        index: String,
+        search: Search,
+    },
+    Edit {
+        index: String,
+        edit: Edit,
+    },
+}
+
+/// A change of one document.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Edit {
+    pub id: String,
+    /// What decides its shard: the id, unless another is named.
+    pub routing: String,
+    /// What is sent on to the node.
+    pub text: String,
+    /// By which a node knows a repeat.
+    pub label: Option<String>,
+}
+
+/// A handed-back header takes no more.
+const MOST_OPAQUE: usize = 128;
+
+impl Request {
+    pub fn read<'h>(
+        method: &str,
+        target: &str,
+        header: impl Fn(&str) -> Option<&'h str>,
+        body: &[u8],
+    ) -> Result<Self, Fault> {
+        let (endpoint, parameters) = endpoint(method, target)?;
+        let opaque = header("x-opaque-id").map(opaque).transpose()?;
+        let what = match endpoint {
+            Endpoint::Root => What::Root,
+            Endpoint::Health => What::Health,
+            Endpoint::Search { index } => {
+                What::Search { index, search: Search::read(body)?.with_parameters(&parameters)? }
+            }
+            Endpoint::Count { index } => What::Count { index, search: counting(body)? },
+            Endpoint::Update { index, id } => {
+                let edit = edit(id, &parameters, header("idempotency-key"), update(body)?)?;
+                What::Edit { index, edit }
+            }
+            Endpoint::Put { index, id: Some(id) } => {
+                let document = Node::read(body)?;
+                document.object("document")?;
+                let edit = edit(
+                    id,
+                    &parameters,
+                    header("idempotency-key"),
+                    json!({"doc": document.write(), "whole": true}),
+                )?;
+                What::Edit { index, edit }
+            }
+            Endpoint::Put { id: None, .. } => {
+                return Err(Fault::argument("a document has to be given its id here: an id of ours would make a repeat a second document"));
+            }
+            Endpoint::Many { .. } | Endpoint::Nodes { .. } | Endpoint::Shards { .. } => {
+                return Err(Fault::argument("not spoken by this mixer yet"));
+            }
+        };
+        let timeout = match &what {
+            What::Search { search, .. } => search.timeout,
+            _ => named(&parameters, "timeout").map(crate::search::timeout).transpose()?,
+        };
+        let partial = named(&parameters, "allow_partial_search_results");
+        let partial =
+            partial.map(|word| Node::Text(word.into()).bool("allow_partial_search_results")).transpose()?;
+        Ok(Self { what, shards: preferred(&parameters)?, partial, timeout, opaque })
+    }
+
+    pub fn index(&self) -> Option<&str> {
+        match &self.what {
+            What::Root | What::Health => None,
+            What::Search { index, .. } | What::Count { index, .. } | What::Edit { index, .. } => Some(index),
+        }
+    }
+}
+
+/// Printable, so that it may stand in an answer's head.
+fn opaque(value: &str) -> Result<String, Fault> {
+    if value.len() > MOST_OPAQUE || !value.bytes().all(|byte| (b' '..=b'~').contains(&byte)) {
+        return Err(Fault::argument("X-Opaque-Id takes up to 128 printable characters"));
+    }
+    Ok(value.into())
+}
+
+fn named<'p>(parameters: &'p Parameters, name: &str) -> Option<&'p str> {
+    parameters.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
+}
+
+fn counting(body: &[u8]) -> Result<Search, Fault> {
+    let mut search = Search { size: 0, totals: Totals::All, ..Search::default() };
+    if !body.iter().all(u8::is_ascii_whitespace) {
+        let node = Node::read(body)?;
+        fields(&node, "count", &["query"])?;
+        search.query = Search::of(&node)?.query;
+    }
+    Ok(search)
+}
+
+fn update(body: &[u8]) -> Result<serde_json::Value, Fault> {
+    let node = Node::read(body)?;
+    // Scripts and upserts depend on what is there: they can't be told from a second run.
+    fields(&node, "update", &["doc"])?;
+    let document = node.get("doc").ok_or_else(|| Fault::parsing("[update] requires [doc]"))?;
+    document.object("doc")?;
+    Ok(json!({"doc": document.write(), "whole": false}))
+}
+
+fn edit(
+    id: String,
+    parameters: &Parameters,
+    label: Option<&str>,
+    mut text: serde_json::Value,
+) -> Result<Edit, Fault> {
+    let sound = |key: &str| {
+        !key.is_empty() && key.len() <= 128 && key.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-')
+    };
+    if label.is_some_and(|key| !sound(key)) {
+        return Err(Fault::argument("a malformed Idempotency-Key"));
+    }
+    text["id"] = id.as_str().into();
+    let routing = named(parameters, "routing").unwrap_or(&id).to_string();
+    Ok(Edit { routing, text: text.to_string(), label: label.map(String::from), id })
+}
+
+impl Edit {
+    /// Its shard of so many: MurmurHash3 (32 bits, seed 0) of the routing's bytes, as a share of the shards.
+    pub fn shard(&self, shards: u32) -> u32 {
+        let hash = murmur3::murmur3_32(&mut std::io::Cursor::new(self.routing.as_bytes()), 0).unwrap_or(0);
+        ((u64::from(hash) * u64::from(shards)) >> 32) as u32
+    }
+
+    /// What its client hears once it has been saved.
+    pub fn saved(&self, index: &str) -> serde_json::Value {
+        json!({
+            "_index": index, "_id": self.id, "result": "updated",
+            "_shards": {"total": 1, "successful": 1, "failed": 0},
+        })
+    }
+}
+
+/// What the root says. Clients look at the number to decide what they may ask.
+pub fn root(name: &str) -> serde_json::Value {
+    json!({
+        "name": name, "cluster_name": "fernglade",
+        "version": {"distribution": "opensearch", "number": "2.11.0", "minimum_wire_compatibility_version": "7.10.0"},
+        "tagline": "a part of the query API: docs/dialect.md says which",
+    })
+}
+
+/// How the searchers stand, in the API's colours.
+pub fn health((ready, listed): (usize, usize), shards: u32) -> serde_json::Value {
+    let status = match ready {
+        0 => "red",
+        ready if ready < listed => "yellow",
+        _ => "green",
+    };
+    json!({
+        "cluster_name": "fernglade", "status": status, "timed_out": false,
+        "number_of_nodes": listed, "number_of_data_nodes": ready, "active_shards": if ready > 0 { shards } else { 0 },
+    })
+}
+
+/// An index that is not there.
+pub fn no_index(name: &str) -> Fault {
+    Fault::new(Kind::IndexNotFound, format!("no such index [{name}]"))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    fn read(method: &str, target: &str, key: Option<&'static str>, body: &str) -> Result<Request, Fault> {
+        Request::read(method, target, |name| key.filter(|_| name == "idempotency-key"), body.as_bytes())
+    }
+
+    #[test]
+    fn an_edit_is_read_with_its_key_and_goes_to_one_shard() {
+        let request =
+            read("POST", "/cues/_update/c7?routing=title-3", Some("k1"), r#"{"doc":{"cue":"hola"}}"#)
+                .unwrap();
+        let What::Edit { edit, .. } = &request.what else { panic!("an edit") };
+        assert_eq!((edit.label.as_deref(), edit.routing.as_str()), (Some("k1"), "title-3"));
+        assert!(edit.text.contains(r#""id":"c7""#) && edit.shard(16) < 16);
+        let other = read("POST", "/cues/_update/c8?routing=title-3", None, r#"{"doc":{}}"#).unwrap();
+        let What::Edit { edit: other, .. } = &other.what else { panic!("an edit") };
+        assert_eq!(edit.shard(16), other.shard(16), "by routing");
+    }
+
+    #[test_case("POST", "/cues/_update/c7", r#"{"script":{"source":"x"}}"#, "[update] unknown field [script]"; "a script")]
+    #[test_case("POST", "/cues/_update/c7", r#"{"doc":{},"upsert":{}}"#, "[update] unknown field [upsert]"; "an upsert")]
+    #[test_case("POST", "/cues/_doc", "{}", "has to be given its id"; "a document without an id")]
+    #[test_case("PUT", "/cues/_doc/c7", "[]", "[document] expects an object"; "no document")]
+    #[test_case("POST", "/cues/_count", r#"{"size":1}"#, "[count] unknown field [size]"; "a count with a size")]
+    #[test_case("GET", "/cues/_search?allow_partial_search_results=perhaps", "", "true or false"; "neither yes nor no")]
+    fn what_cant_be_meant_is_refused(method: &str, target: &str, body: &str, says: &str) {
+        let fault = read(method, target, None, body).unwrap_err();
+        assert!(fault.reason.contains(says), "{}", fault.reason);
+    }
+}
--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -10,7 +10,7 @@
 use fernglade::Span;
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::ops::ControlFlow;
@@ -58,12 +58,15 @@
     teller: Teller,
     /// When those refused last were to come back; for those refused where no descriptor is left.
     come_back: Cell<Span>,
+    /// Indices of the query dialect; it is not spoken where there are none.
+    indices: BTreeSet<String>,
 }
 
 impl Clients {
     /// So many may stand half closed until they have fetched their refusal.
-    pub fn new(most_told: usize) -> Self {
+    pub fn new(most_told: usize, indices: BTreeSet<String>) -> Self {
         Self {
+            indices,
             door: Door::default(),
             porch: RefCell::default(),
             inside: RefCell::default(),
@@ -107,6 +110,9 @@
                 Reply::Answer { whole, values } => scans::answer(*whole, values, last),
                 Reply::Bounce(pause) => bounce(*pause, last),
                 Reply::WriteOff => scans::write_off(last),
+                Reply::Dialect { status, body, pause, opaque } => {
+                    scans::dialect(*status, body, *pause, opaque.as_deref(), last)
+                }
                 Reply::Health(ready) => scans::health(*ready, last),
                 Reply::Refusal(why) if !last => {
                     return handle.spawn(talk.clone().blame(scans::refusal(why, last)));
@@ -276,7 +282,8 @@
     let (line, answering, is_last) = (Line::new(MOST_WAITING), Cell::new(false), Cell::new(false));
     let talk = Rc::new(Talk { line, answering, is_last });
     clients.inside.borrow_mut().insert(client, talk.clone());
-    let mut listening = Listening { reader: Reader::default(), stirred: false, lost: false };
+    let mut listening =
+        Listening { clients: clients.clone(), reader: Reader::default(), stirred: false, lost: false };
     let read = |inbox: &mut Inbox| listening.read(&handle, client, &talk, inbox);
     let stop = pump(&stream, &talk.line, Inbox::new(MOST_UNREAD), read, |_| ()).await;
     if matches!(stop, Stop::Closed) && listening.lost {
@@ -289,6 +296,7 @@
 }
 
 struct Listening {
+    clients: Rc<Clients>,
     reader: Reader,
     /// A request has begun and was told of.
     stirred: bool,
@@ -311,7 +319,8 @@
                     if !message.keeps() {
                         talk.is_last.set(true);
                     }
-                    match question(&message) {
+                    match question(&message, &self.clients.indices) {
+                        Ok(Question::Query(request)) => Event::Queried(client, request),
                         Ok(Question::Scan(ask)) => Event::Asked(client, ask),
                         Ok(Question::Health) => Event::HealthAsked(client),
                         Err(blame) => Event::Misasked(client, blame, false),
--- a/crates/mixer/src/program/hub.rs
+++ b/crates/mixer/src/program/hub.rs
@@ -40,10 +40,10 @@
 
 async fn serve(orders: Orders, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
     let clock = Clock::start();
-    let house = orders.operator.house();
-    let state = State::new(&orders.readings, orders.seed, orders.descriptors, house);
+    let state = State::new(&orders.readings, orders.seed, orders.descriptors, &orders.operator, &orders.name);
     let mut state = state.map_err(|what| what.to_string())?;
     let first = state.begin(&orders.known, orders.discovery, clock.now());
+    let indices = orders.operator.dialect().indices.keys().cloned().collect();
     let listener = listen(orders.listen).map_err(|e| format!("cannot listen on {}: {e}", orders.listen))?;
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
         .map_err(|e| format!("cannot take signals: {e}"))?;
@@ -60,7 +60,7 @@
             busy: Cell::new(false),
             clock,
             handle: Handle::new(executor, feed),
-            clients: Rc::new(Clients::new(orders.descriptors.told)),
+            clients: Rc::new(Clients::new(orders.descriptors.told, indices)),
             links: Rc::default(),
             watch: Rc::default(),
             alarm: Cell::new(None),
--- a/crates/mixer/src/protocol/scans.rs
+++ b/crates/mixer/src/protocol/scans.rs
@@ -3,6 +3,8 @@
 use super::http::{response, Message};
 use super::json::{quote, Json};
 use fernglade::Span;
+use fernglade_dialect::request::Request;
+use std::collections::BTreeSet;
 
 /// A scan as its client asks for it, names not looked up.
 #[derive(Clone, Debug, PartialEq)]
@@ -29,6 +31,8 @@
 pub enum Question {
     Health,
     Scan(Ask),
+    /// In the query dialect.
+    Query(Box<Request>),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -39,15 +43,26 @@
     Conflict,
     HeadTooLong,
     BodyTooLong,
+    /// In the words of the query dialect.
+    Dialect(fernglade_dialect::Fault),
 }
 
 fn blame(what: impl Into<String>) -> Blame {
     Blame::Request(what.into())
 }
 
-pub fn question(message: &Message) -> Result<Question, Blame> {
+/// `indices` are those of the query dialect, which is not spoken where there are none.
+pub fn question(message: &Message, indices: &BTreeSet<String>) -> Result<Question, Blame> {
     let [method, target, _] = &message.start;
     let path = target.split('?').next().unwrap_or_default();
+    let mut steps = path.trim_start_matches('/').split('/');
+    let (first, second) = (steps.next().unwrap_or_default(), steps.next().unwrap_or_default());
+    let of_dialect =
+        first.is_empty() || first.starts_with('_') || second.starts_with('_') || indices.contains(first);
+    if !indices.is_empty() && of_dialect {
+        let request = Request::read(method, target, |name| message.header(name), &message.body);
+        return request.map(|request| Question::Query(Box::new(request))).map_err(Blame::Dialect);
+    }
     match (method.as_str(), path) {
         ("GET" | "HEAD", "/healthz") => Ok(Question::Health),
         (_, "/healthz") => Err(Blame::Method),
@@ -136,8 +151,24 @@
     response(if ready { 200 } else { 503 }, &[], "", close)
 }
 
+/// An answer in the query dialect.
+pub fn dialect(status: u16, body: &str, pause: Span, opaque: Option<&str>, close: bool) -> Vec<u8> {
+    let seconds = (pause.micros().div_ceil(1_000_000)).to_string();
+    let mut headers = vec![("Content-Type", "application/json; charset=UTF-8")];
+    // That API's clients read whole seconds.
+    if matches!(status, 429 | 503) && pause > Span::ZERO {
+        headers.push(("Retry-After", &seconds));
+    }
+    headers.extend(opaque.map(|opaque| ("X-Opaque-Id", opaque)));
+    response(status, &headers, body, close)
+}
+
 pub fn refusal(why: &Blame, close: bool) -> Vec<u8> {
     let (status, says) = match why {
+        Blame::Dialect(fault) => {
+            let body = fault.body().to_string();
+            return dialect(fault.kind.status(), &body, Span::ZERO, None, close);
+        }
         Blame::Request(what) => (400, what.as_str()),
         Blame::Path => (404, "no such traffic type here"),
         Blame::Method => (405, "scans are posted, /healthz is got"),
@@ -160,7 +191,7 @@
     fn asked(target: &str, headers: &str, body: &str) -> Result<Question, Blame> {
         let length = body.len();
         let text = format!("POST {target} HTTP/1.1\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
-        question(&Reader::default().read(text.as_bytes()).unwrap().1.unwrap())
+        question(&Reader::default().read(text.as_bytes()).unwrap().1.unwrap(), &BTreeSet::new())
     }
 
     const HEADERS: &str = "X-Request-ID: 9b1f\r\nX-Priority-Class: checkout\r\nX-Tenant-Id: acme\r\n\
@@ -202,7 +233,7 @@
         assert!(asked("/checkout/more", HEADERS, BODY).is_ok());
         let get = |target: &str| {
             let text = format!("GET {target} HTTP/1.1\r\n\r\n");
-            question(&Reader::default().read(text.as_bytes()).unwrap().1.unwrap())
+            question(&Reader::default().read(text.as_bytes()).unwrap().1.unwrap(), &BTreeSet::new())
         };
         assert_eq!((get("/healthz"), get("/checkout")), (Ok(Question::Health), Err(Blame::Method)));
     }
--- a/crates/mixer/src/routing/desk.rs
+++ b/crates/mixer/src/routing/desk.rs
@@ -3,6 +3,7 @@
 use super::alarms::{Alarm, Alarms};
 use super::clients::{Clients, Doing};
 use super::pool::{Call, Link, Pool, Stand};
+use super::query::{self, Held};
 use super::roll::Roll;
 use super::{CallId, ClientId, Effect, LinkId, Reply};
 use crate::protocol::frames::Errand;
@@ -19,8 +20,12 @@
     pub text: Rc<str>,
     /// Each part's shard, and its value once it is in.
     pub parts: Vec<(u32, Option<String>)>,
+    /// How each part landed last, where it brought no value.
+    pub lost: Vec<Option<Landing>>,
     /// How many bytes of an answer its values take so far.
     pub size: usize,
+    /// What was asked in the query dialect, if it was.
+    pub query: Option<Held>,
 }
 
 /// A relay that has not landed.
@@ -64,6 +69,9 @@
 impl Desk {
     pub fn land(&mut self, ticket: Ticket, how: Landing) -> Option<Relay> {
         let relay = self.relays.remove(&ticket)?;
+        if let Some(lost) = self.scans.get_mut(relay.scan).and_then(|open| open.lost.get_mut(relay.part)) {
+            *lost = Some(how).filter(|how| *how != Landing::Honoured);
+        }
         self.landed.push_back((ticket, how, self.now.since(relay.left)));
         Some(relay)
     }
@@ -303,7 +311,11 @@
     }
 
     fn answer(&mut self, scan: ScanId, whole: bool, _last: bool) {
+        let now = self.now;
         let values = |open: Open| {
+            if let Some(held) = &open.query {
+                return query::reply(held.answer(&open, now), Span::ZERO, held.opaque());
+            }
             let parts = open.parts.into_iter();
             let values = parts.filter_map(|(shard, value)| Some((shard, value?))).collect();
             Reply::Answer { whole, values }
@@ -312,11 +324,17 @@
     }
 
     fn bounce(&mut self, scan: ScanId, pause: Span) {
-        self.finish(scan, |_| Reply::Bounce(pause));
+        self.finish(scan, |open| match &open.query {
+            Some(held) => query::reply(Err(held.bounce()), pause, held.opaque()),
+            None => Reply::Bounce(pause),
+        });
     }
 
     fn write_off(&mut self, scan: ScanId) {
-        self.finish(scan, |_| Reply::WriteOff);
+        self.finish(scan, |open| match &open.query {
+            Some(held) => query::reply(Err(held.write_off()), Span::ZERO, held.opaque()),
+            None => Reply::WriteOff,
+        });
     }
 
     fn wake(&mut self, ticket: Ticket, at: Moment) {
--- a/crates/mixer/src/routing/event.rs
+++ b/crates/mixer/src/routing/event.rs
@@ -6,6 +6,7 @@
 use crate::protocol::scans::{Ask, Blame};
 use fernglade::{Moment, Span};
 use fernglade_admission::HouseRules;
+use fernglade_dialect::request::Request;
 use std::net::{IpAddr, SocketAddr};
 
 /// A client's connection. Never given twice.
@@ -28,6 +29,8 @@
     Stirred(ClientId),
     Asked(ClientId, Ask),
     HealthAsked(ClientId),
+    /// It asked in the query dialect.
+    Queried(ClientId, Box<Request>),
     /// It asked for what can't be had; `lost` where nothing more can be read from it.
     Misasked(ClientId, Blame, bool),
     ClientGone(ClientId),
@@ -118,9 +121,19 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
-    Answer { whole: bool, values: Vec<(u32, String)> },
+    Answer {
+        whole: bool,
+        values: Vec<(u32, String)>,
+    },
     Bounce(Span),
     WriteOff,
     Health(bool),
     Refusal(Blame),
+    /// In the query dialect.
+    Dialect {
+        status: u16,
+        body: String,
+        pause: Span,
+        opaque: Option<String>,
+    },
 }
--- a/crates/mixer/src/routing/mod.rs
+++ b/crates/mixer/src/routing/mod.rs
@@ -7,9 +7,12 @@
 mod ending;
 mod event;
 mod pool;
+mod query;
 mod roll;
 mod state;
 
+#[cfg(test)]
+mod doors;
 #[cfg(test)]
 mod tests;
 
--- /dev/null
+++ b/crates/mixer/src/routing/query.rs
@@ -0,0 +1,216 @@
+//! Requests of the query dialect, made into the same scans as the platform's own, and what their clients hear. No
+//! decision is made here: which searcher, whether again and what is turned away is the module's.
+
+use super::desk::Open;
+use super::Reply;
+use crate::protocol::scans::{Ask, AskedPart, Blame};
+use fernglade::{Effect as Redoing, Landing, Moment, TrafficType};
+use fernglade_dialect::answer::{bounced, counted, found, written_off, Missing, Shards};
+use fernglade_dialect::errand::errand;
+use fernglade_dialect::merge::Merge;
+use fernglade_dialect::reply::Reply as NodeReply;
+use fernglade_dialect::request::{no_index, Request, What};
+use fernglade_dialect::search::Search;
+use fernglade_dialect::Fault;
+use fernglade_orders::{Dialect, Index};
+use std::collections::BTreeMap;
+
+/// What is kept of a request while its scan is open.
+pub struct Held {
+    request: Request,
+    /// Whether an answer from some of the shards is one.
+    partial: bool,
+    /// Nothing of it may run twice.
+    once: bool,
+    began: Moment,
+}
+
+/// The indices, checked against the deployment's settings.
+pub struct Indices {
+    all: BTreeMap<String, Index>,
+    shards: u32,
+    /// Names its scans, beside a count: no two mixers' are alike, nor those of two lives of one.
+    nonce: u64,
+    count: u64,
+}
+
+impl Indices {
+    pub fn new(
+        dialect: &Dialect,
+        types: &[(String, TrafficType)],
+        customers: &[String],
+        shards: u32,
+        nonce: u64,
+    ) -> Result<Self, String> {
+        for (name, index) in &dialect.indices {
+            let wrong = |what: String| Err(format!("dialect.indices.{name}: {what}"));
+            let kind =
+                |wanted: &String| types.iter().find(|(known, _)| known == wanted).map(|(_, kind)| kind);
+            let Some(searches) = kind(&index.searches) else {
+                return wrong(format!("searches: no traffic type {}", index.searches));
+            };
+            if searches.effect != Redoing::Redoable {
+                return wrong(format!("searches: {} may not run again, and searches may", index.searches));
+            }
+            match index.edits.as_ref().map(|edits| (edits, kind(edits))) {
+                Some((edits, None)) => return wrong(format!("edits: no traffic type {edits}")),
+                Some((edits, Some(kind))) if kind.effect == Redoing::Redoable => {
+                    return wrong(format!("edits: {edits} may run again, and edits may not"));
+                }
+                _ => {}
+            }
+            if !customers.is_empty() && !customers.contains(&index.customer) {
+                return wrong(format!("customer: no customer {}", index.customer));
+            }
+            if types.iter().any(|(known, _)| known == name) {
+                return wrong("it is named like a traffic type".into());
+            }
+        }
+        Ok(Self { all: dialect.indices.clone(), shards, nonce, count: 0 })
+    }
+
+    /// The scan that a request is, and what is kept of it.
+    pub fn ask(
+        &mut self,
+        request: Request,
+        types: &[(String, TrafficType)],
+        now: Moment,
+    ) -> Result<(Ask, Held), Fault> {
+        let name = request.index().unwrap_or_default();
+        let index = self.all.get(name).ok_or_else(|| no_index(name))?;
+        let edits =
+            || index.edits.as_ref().ok_or_else(|| Fault::argument(format!("[{name}] takes no edits")));
+        let (traffic_type, shards, text, label) = match &request.what {
+            What::Edit { edit, .. } => {
+                (edits()?, vec![edit.shard(self.shards)], edit.text.clone(), edit.label.clone())
+            }
+            What::Search { search, .. } | What::Count { search, .. } => {
+                let all = request.shards.clone().unwrap_or_else(|| (0..self.shards).collect());
+                (&index.searches, all, asked_of_nodes(name, search), None)
+            }
+            What::Root | What::Health => return Err(no_index(name)),
+        };
+        let Some((_, kind)) = types.iter().find(|(known, _)| known == traffic_type) else {
+            return Err(no_index(name));
+        };
+        if matches!(kind.effect, Redoing::Labelled(_)) && label.is_none() {
+            return Err(Fault::argument("an edit of this index needs an Idempotency-Key"));
+        }
+        if shards.is_empty() {
+            return Err(Fault::argument("no shards are asked for"));
+        }
+        self.count += 1;
+        let weight = 1.0 / shards.len() as f64;
+        let ask = Ask {
+            name: format!("q{:x}-{}", self.nonce, self.count),
+            traffic_type: traffic_type.clone(),
+            customer: index.customer.clone(),
+            left: request.timeout.map_or(kind.abandon, |timeout| timeout.min(kind.abandon)),
+            repeat: false,
+            label,
+            text,
+            parts: shards.into_iter().map(|shard| AskedPart { shard, weight, work: None }).collect(),
+        };
+        // Both have to allow it.
+        let partial = index.partial && request.partial != Some(false);
+        Ok((ask, Held { partial, once: kind.effect != Redoing::Redoable, request, began: now }))
+    }
+}
+
+/// What each shard's node is asked, in its own words; the time left goes with the part, and not in here.
+fn asked_of_nodes(index: &str, search: &Search) -> String {
+    let (_, body) = errand(index, search, 0, fernglade::Span::ZERO);
+    String::from_utf8(body).unwrap_or_default()
+}
+
+/// What a blame of the platform's side says in the dialect.
+pub fn fault_of(blame: Blame) -> Fault {
+    match blame {
+        Blame::Dialect(fault) => fault,
+        Blame::Request(what) => Fault::argument(what),
+        other => Fault::argument(format!("{other:?}")),
+    }
+}
+
+impl Held {
+    /// Whether a shard's value is one: a node that half understands has failed its part.
+    pub fn takes(&self, value: &str) -> bool {
+        match &self.request.what {
+            What::Search { index, search } | What::Count { index, search } => {
+                let found = NodeReply::read(200, value.as_bytes(), index, &given(search));
+                found.landing() == Landing::Honoured
+            }
+            _ => true,
+        }
+    }
+
+    pub fn opaque(&self) -> Option<String> {
+        self.request.opaque.clone()
+    }
+
+    /// The answer, from the values that are in; or why there is none.
+    pub fn answer(&self, open: &Open, now: Moment) -> Result<serde_json::Value, Fault> {
+        let (index, search) = match &self.request.what {
+            What::Edit { index, edit } => return Ok(edit.saved(index)),
+            What::Search { index, search } | What::Count { index, search } => (index, search),
+            What::Root | What::Health => return Err(no_index("")),
+        };
+        let mut merge = Merge::new(search);
+        let mut shards = Shards { total: open.parts.len(), missing: Vec::new() };
+        for ((shard, value), lost) in open.parts.iter().zip(&open.lost) {
+            let reply =
+                value.as_ref().map(|value| NodeReply::read(200, value.as_bytes(), index, &given(search)));
+            let taken = match reply {
+                Some(NodeReply::Found(found)) => merge.take(*shard, found),
+                _ => false,
+            };
+            if !taken {
+                shards.missing.push((*shard, missing(*lost)));
+            }
+        }
+        if !shards.all_in() && !self.partial {
+            return Err(written_off(false));
+        }
+        let found_all = merge.finish(shards.all_in());
+        Ok(match &self.request.what {
+            What::Count { .. } => counted(index, found_all.total.unwrap_or(0), &shards),
+            _ => found(index, search, found_all, &shards, now.since(self.began)),
+        })
+    }
+
+    pub fn bounce(&self) -> Fault {
+        bounced()
+    }
+
+    /// No promise: where a second run may do harm it is never a status that asks for one.
+    pub fn write_off(&self) -> Fault {
+        written_off(self.once)
+    }
+}
+
+/// A search as nodes are asked it: the first page up to the end of the one that is wanted.
+fn given(search: &Search) -> Search {
+    Search { from: 0, size: search.window(), timeout: None, ..search.clone() }
+}
+
+fn missing(lost: Option<Landing>) -> Missing {
+    match lost {
+        Some(Landing::TurnedAway) => Missing::TurnedAway,
+        Some(Landing::Silent | Landing::CalledOff) => Missing::Late,
+        None | Some(Landing::Unsent) => Missing::Skipped,
+        Some(_) => Missing::Failed,
+    }
+}
+
+/// A reply in the dialect.
+pub fn reply(
+    result: Result<serde_json::Value, Fault>,
+    pause: fernglade::Span,
+    opaque: Option<String>,
+) -> Reply {
+    let (status, body) = match result {
+        Ok(value) => (200, value),
+        Err(fault) => (fault.kind.status(), fault.body()),
+    };
+    Reply::Dialect { status, body: body.to_string(), pause, opaque }
+}
--- a/crates/mixer/src/routing/roll.rs
+++ b/crates/mixer/src/routing/roll.rs
@@ -75,6 +75,11 @@
         self.numbers.name(searcher)
     }
 
+    /// How many are ready, and how many are listed.
+    pub fn ready_and_listed(&self) -> (usize, usize) {
+        (self.lines.values().filter(|line| line.ready).count(), self.lines.len())
+    }
+
     pub fn any_ready(&self) -> bool {
         self.lines.values().any(|line| line.ready)
     }
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -4,6 +4,7 @@
 use super::clients::{Clients, Doing, HALF_ASKED};
 use super::desk::{Desk, Open};
 use super::pool::Stand;
+use super::query::{self, Held, Indices};
 use super::{ClientId, Effect, Ending, Event, LinkId, Reply};
 use crate::protocol::frames::PartEnd;
 use crate::protocol::lists::News;
@@ -11,8 +12,10 @@
 use crate::protocol::MOST_BODY;
 use fernglade::choice::Mixer;
 use fernglade::{Effect as Redoing, Host, Landing, Moment, PartTaken, ScanTaken, Span, Ticket, TrafficType};
-use fernglade_admission::{Act, Descriptors, Guest, HouseRules};
+use fernglade_admission::{Act, Descriptors, Guest};
+use fernglade_dialect::request::{health, root, Request, What};
 use fernglade_fronts::{Misread, Readings};
+use fernglade_orders::Operator;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -31,6 +34,8 @@
     types: Vec<(String, TrafficType)>,
     customers: Vec<String>,
     shards: u32,
+    indices: Indices,
+    name: String,
     /// Scans and parts that may be open at once.
     most_held: usize,
     /// No client comes any more, and none that is idle stays.
@@ -47,14 +52,15 @@
         readings: &Readings,
         seed: u64,
         descriptors: Descriptors,
-        rules: HouseRules,
+        operator: &Operator,
+        name: &str,
     ) -> Result<Self, Misread> {
         let types: Vec<_> = readings.names("services")?.into_iter().zip(readings.traffic_types()?).collect();
         if let Some((name, _)) = types.iter().find(|(_, kind)| kind.second_step) {
             return Err(Misread(format!("settings: {name}: a second step is not spoken on sockets")));
         }
         let mut desk = Desk::default();
-        desk.clients = Clients::new(rules, descriptors.clients);
+        desk.clients = Clients::new(operator.house(), descriptors.clients);
         desk.may_call_off = readings.yes("limits.cancel");
         desk.dial_within = readings.span("limits.dial_timeout")?;
         desk.pool.most = descriptors.links.max(1);
@@ -65,12 +71,17 @@
             readings.dear_outside()?.map(|zone| areas.get(usize::from(zone)).cloned().unwrap_or_default());
         let says = readings.yes("limits.retry_after");
         let come_back = if says { readings.span("limits.max_retry_after")? } else { Span::ZERO };
+        let (customers, shards) =
+            (readings.names("customers")?, readings.number("family_info.slabs", 0.0)? as u32);
+        let indices = Indices::new(operator.dialect(), &types, &customers, shards, seed).map_err(Misread)?;
         Ok(Self {
             mixer: readings.mixer(seed)?,
             desk,
             types,
-            customers: readings.names("customers")?,
-            shards: readings.number("family_info.slabs", 0.0)? as u32,
+            customers,
+            shards,
+            indices,
+            name: name.into(),
             most_held: readings.number("limits.max_open", 20_000.0)? as usize,
             last_call: false,
             descriptors,
@@ -148,14 +159,40 @@
 
     fn asked(&mut self, client: ClientId, ask: Ask) {
         let Some(Doing::Asking(began)) = self.desk.clients.doing(client) else { return };
+        self.open(client, ask, began, None);
+    }
+
+    /// The same in the query dialect: it becomes the same scan.
+    fn queried(&mut self, client: ClientId, request: Request) {
+        let Some(Doing::Asking(began)) = self.desk.clients.doing(client) else { return };
+        let opaque = request.opaque.clone();
+        let told = match request.what {
+            What::Root => Ok(root(&self.name)),
+            What::Health => Ok(health(self.desk.roll.ready_and_listed(), self.shards)),
+            _ => match self.indices.ask(request, &self.types, began) {
+                Ok((ask, held)) => return self.open(client, ask, began, Some(held)),
+                Err(fault) => Err(fault),
+            },
+        };
+        self.desk.reply(client, query::reply(told, Span::ZERO, opaque), false);
+    }
+
+    fn open(&mut self, client: ClientId, ask: Ask, began: Moment, query: Option<Held>) {
         let scan = match self.taken(&ask, began) {
             Ok(scan) => scan,
-            Err(blame) => return self.desk.reply(client, Reply::Refusal(blame), false),
+            Err(blame) => {
+                let reply = match query {
+                    Some(held) => query::reply(Err(query::fault_of(blame)), Span::ZERO, held.opaque()),
+                    None => Reply::Refusal(blame),
+                };
+                return self.desk.reply(client, reply, false);
+            }
         };
         let parts: Vec<_> = ask.parts.iter().map(|part| (part.shard, None)).collect();
         self.desk.held += 1 + parts.len();
+        let (name, lost) = (ask.name.clone(), vec![None; parts.len()]);
         let open =
-            Open { client, name: ask.name.clone(), label: ask.label, text: ask.text.into(), parts, size: 0 };
+            Open { client, name, label: ask.label, text: ask.text.into(), parts, lost, size: 0, query };
         let id = self.desk.scans.open(open);
         self.desk.names.insert(ask.name);
         self.desk.clients.set(client, Doing::Waiting(id), self.desk.now);
@@ -247,6 +284,9 @@
         if size > MOST_BODY - PART_FRAME {
             return Landing::Erred;
         }
+        if open.query.as_ref().is_some_and(|held| !held.takes(&value)) {
+            return Landing::Erred;
+        }
         open.size = size;
         open.parts[relay.part].1 = Some(value);
         Landing::Honoured
@@ -363,6 +403,7 @@
             state.await_whole(client, now);
         }
         Event::Asked(client, ask) => state.asked(client, ask),
+        Event::Queried(client, request) => state.queried(client, *request),
         Event::HealthAsked(client) => {
             let ready = state.desk.roll.any_ready() && !state.desk.stopping;
             state.desk.reply(client, Reply::Health(ready), false);
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -5,8 +5,9 @@
 use crate::protocol::lists::{News, Row};
 use crate::protocol::scans::{Ask, AskedPart, Blame};
 use fernglade::{Landing, Moment, Span};
-use fernglade_admission::{Descriptors, HouseRules};
+use fernglade_admission::Descriptors;
 use fernglade_fronts::Readings;
+use fernglade_orders::Operator;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use test_case::test_case;
 
@@ -57,7 +58,7 @@
 /// So many searchers that hold every shard; the last reading of a name stands.
 fn play_with(searchers: u16, more: &str, descriptors: Descriptors) -> Play {
     let readings = Readings::parse(format!("{SETTINGS}{more}").as_bytes()).unwrap();
-    let state = State::new(&readings, 7, descriptors, HouseRules::default()).unwrap();
+    let state = State::new(&readings, 7, descriptors, &Operator::default(), "n0").unwrap();
     let now = Moment::at_micros(1_764_000_000_000_000);
     let mut play = Play { state, now, alarm: None, effects: Vec::new(), clients: 0 };
     let known = news(5, true, (0..searchers).map(|number| row(number, true)).collect());
--- a/crates/orders/src/file.rs
+++ b/crates/orders/src/file.rs
@@ -1,6 +1,7 @@
 //! The file as a whole.
 
 use crate::admission::Admission;
+use crate::dialect::Dialect;
 use fernglade_admission::HouseRules;
 use serde::Deserialize;
 use std::fmt;
@@ -9,6 +10,7 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Operator {
     admission: Admission,
+    dialect: Dialect,
 }
 
 /// What is wrong, and where.
@@ -54,6 +56,11 @@
         Ok(operator)
     }
 
+    /// Names in it are checked against the deployment's settings by who uses them.
+    pub fn dialect(&self) -> &Dialect {
+        &self.dialect
+    }
+
     pub fn house(&self) -> HouseRules {
         self.admission.house()
     }
@@ -89,6 +96,9 @@
                 && house.come_back.is_some()
         );
         assert!(house.known.holds("10.20.3.4".parse().unwrap()));
+        let dialect = Operator::read(&on).unwrap().dialect().clone();
+        assert!(dialect.indices["cues"].partial && dialect.indices["cues"].edits.is_some());
+        assert!(Operator::read(text).unwrap().dialect().indices.is_empty());
     }
 
     #[test_case("{\n admission: {\n  per_adress: 3 } }", 3, "admission.per_adress", "per_address"; "an unknown key")]
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -2,7 +2,9 @@
 //! parts' rules or one line of what is wrong out. Called by the program at its start and on SIGHUP.
 
 mod admission;
+mod dialect;
 mod file;
 mod units;
 
+pub use dialect::{Dialect, Index};
 pub use file::{Operator, Wrong};
--- a/crates/standins/src/cues.rs
+++ b/crates/standins/src/cues.rs
@@ -213,3 +213,147 @@
     };
     first.then_with(|| a.id.cmp(&b.id))
 }
+
+/// How a node that speaks the dialect answers, and ways in which one that half understands it does.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Manner {
+    Sound,
+    /// Answers for all shards, whichever was preferred.
+    AllShards,
+    TimedOut,
+    ShardFailed,
+    /// Its total is lower than what it gives.
+    WrongTotal,
+    /// Sorts by what it likes.
+    Unsorted,
+    /// Gives more than it was asked for.
+    TooMany,
+    /// Hits of another index, or without an id.
+    OtherIndex,
+    NoIds,
+    /// A field from another version.
+    UnknownField,
+    CutShort,
+    /// An error page of something between.
+    Page,
+    NoAggregations,
+}
+
+impl Shard {
+    /// A node's answer to a search of this shard: its body.
+    pub fn body(&self, index: &str, search: &Search, manner: Manner) -> Vec<u8> {
+        use serde_json::json;
+        if manner == Manner::Page {
+            return b"<html><body>502 Bad Gateway</body></html>".to_vec();
+        }
+        let asked = if manner == Manner::TooMany {
+            Search { size: search.size + 3, ..search.clone() }
+        } else {
+            search.clone()
+        };
+        let mut found = self.search(&asked);
+        if manner == Manner::Unsorted {
+            found.hits.reverse();
+        }
+        let hit = |hit: &Hit| {
+            let index = if manner == Manner::OtherIndex { "others" } else { index };
+            let mut written = json!({"_index": index, "_score": hit.score, "_source": hit.source.write()});
+            if manner != Manner::NoIds {
+                written["_id"] = hit.id.as_str().into();
+            }
+            if search.order.by != By::Score {
+                written["sort"] = json!([hit.sort.as_ref().map(Node::write)]);
+            }
+            written
+        };
+        let shards = if manner == Manner::AllShards { 5 } else { 1 };
+        let failed = u64::from(manner == Manner::ShardFailed);
+        let total = if manner == Manner::WrongTotal { 0 } else { found.total };
+        let mut body = json!({
+            "took": 1,
+            "timed_out": manner == Manner::TimedOut,
+            "_shards": {"total": shards, "successful": shards - failed, "skipped": 0, "failed": failed},
+            "hits": {
+                "total": {"value": total, "relation": "eq"},
+                "max_score": null,
+                "hits": found.hits.iter().map(hit).collect::<Vec<_>>(),
+            },
+        });
+        if manner == Manner::UnknownField {
+            body["terminated_early"] = true.into();
+        }
+        if !search.aggregations.is_empty() && manner != Manner::NoAggregations {
+            let of =
+                |name: &String| search.aggregations.iter().find(|(asked, _)| asked == name).map(|(_, of)| of);
+            let write = |(name, part): &(String, Partial)| Some((name.clone(), node_part(part, of(name)?)));
+            body["aggregations"] = found.aggregations.iter().filter_map(write).collect();
+        }
+        let mut bytes = body.to_string().into_bytes();
+        if manner == Manner::CutShort {
+            bytes.truncate(bytes.len() / 2);
+        }
+        bytes
+    }
+}
+
+/// A shard's part of an aggregation: of terms, all that it was asked to tell; of an average, also of how many.
+fn node_part(part: &Partial, of: &Aggregation) -> serde_json::Value {
+    match (part, of) {
+        (Partial::Terms(_), Aggregation::Terms { field, shard_size, .. }) => {
+            let all = Aggregation::Terms { field: field.clone(), size: *shard_size, shard_size: *shard_size };
+            part.write(&all)
+        }
+        (Partial::Average { count, .. }, _) => {
+            let mut written = part.write(of);
+            written["count"] = (*count).into();
+            written
+        }
+        _ => part.write(of),
+    }
+}
+
+/// How many cues a stand-in shard has.
+pub const PLANTED: usize = 120;
+
+/// The shard of that number, as every stand-in node has it.
+pub fn shard(number: u32) -> Shard {
+    let cues = planted(u64::from(number), PLANTED);
+    Shard::new(cues.into_iter().map(|cue| Cue { id: format!("{}-{}", number, cue.id), ..cue }).collect())
+}
+
+/// A searcher of the platform's frames whose parts are of the query dialect: an edit is saved, a search is answered
+/// from its shard.
+pub fn cue_node(letter: u8, rest: &str) -> Option<Vec<u8>> {
+    answer_as(letter, rest, |_| Manner::Sound)
+}
+
+/// One that half understands: it never gives a sound answer.
+pub fn half_node(letter: u8, rest: &str) -> Option<Vec<u8>> {
+    answer_as(letter, rest, |_| Manner::AllShards)
+}
+
+/// One of whose shards the odd ones fail.
+pub fn odd_node(letter: u8, rest: &str) -> Option<Vec<u8>> {
+    answer_as(letter, rest, |shard| if shard % 2 == 1 { Manner::ShardFailed } else { Manner::Sound })
+}
+
+fn answer_as(letter: u8, rest: &str, manner: impl Fn(u32) -> Manner) -> Option<Vec<u8>> {
+    if letter != b'm' {
+        return Some(Vec::new());
+    }
+    let mut answers = Vec::new();
+    let mut rest = rest;
+    while let Some((head, after)) = rest.split_once('\n') {
+        let words: Vec<&str> = head.split(' ').collect();
+        let [id, number, _, length] = words[..] else { return None };
+        let (text, behind) = after.split_at(length.parse().ok()?);
+        rest = behind;
+        let value = match Search::read(text.as_bytes()) {
+            Ok(search) => shard(number.parse().ok()?).body("cues", &search, manner(number.parse().ok()?)),
+            Err(_) => b"saved".to_vec(),
+        };
+        let value = String::from_utf8(value).ok()?;
+        answers.extend(crate::searcher::frame(b'q', &format!("{id} good 1 -\n{value}")));
+    }
+    Some(answers)
+}
--- a/crates/standins/tests/cues.rs
+++ b/crates/standins/tests/cues.rs
@@ -1,10 +1,14 @@
 //! Searches over many shards give what they give over one that has all of it.
 
-use fernglade::Span;
+use fernglade::{Landing, Span};
 use fernglade_dialect::answer::{found, Shards};
-use fernglade_dialect::merge::Merge;
+use fernglade_dialect::endpoint::{endpoint, preferred, Endpoint};
+use fernglade_dialect::errand::{errand, write};
+use fernglade_dialect::merge::{Merge, ShardFound};
+use fernglade_dialect::reply::Reply;
 use fernglade_dialect::search::Search;
-use fernglade_standins::cues::{planted, Cue, Shard};
+use fernglade_dialect::Node;
+use fernglade_standins::cues::{planted, Cue, Manner, Shard};
 use serde_json::Value;
 use test_case::test_case;
 
@@ -57,3 +61,71 @@
     assert_eq!(answer["hits"]["hits"].as_array().unwrap().len(), 40);
     assert_eq!(answer["hits"]["total"]["value"], 40);
 }
+
+const SEARCHES: [&str; 4] = [
+    r#"{"query":{"match":{"cue":{"query":"hola noche","operator":"or"}}},"from":2,"size":5}"#,
+    r#"{"query":{"bool":{"must":[{"range":{"at":{"gt":10,"lte":900}}}],"must_not":[{"terms":{"lang":["es","en"]}}]}},"sort":"at"}"#,
+    r#"{"sort":{"at":"desc"},"size":50,"_source":{"includes":["c*"],"excludes":["cue"]},"track_total_hits":true,"timeout":"250ms"}"#,
+    r#"{"size":3,"aggs":{"l":{"terms":{"field":"lang","size":2,"shard_size":3}},"m":{"avg":{"field":"at"}},"a":{"min":{"field":"at"}}}}"#,
+];
+
+/// What a node is asked reads back as what is meant, and its answer as what it found.
+#[test]
+fn a_part_is_asked_and_answered_in_the_dialects_own_bodies() {
+    for body in SEARCHES {
+        let search = Search::read(body.as_bytes()).unwrap();
+        assert_eq!(
+            Search::of(&Node::read(write(&search).to_string().as_bytes()).unwrap()),
+            Ok(search.clone())
+        );
+        let (target, asked) = errand("cues", &search, 3, Span::of_millis(420));
+        let (endpoint, parameters) = endpoint("POST", &target).unwrap();
+        assert_eq!(endpoint, Endpoint::Search { index: "cues".into() });
+        assert_eq!(preferred(&parameters), Ok(Some(vec![3])));
+        let asked = Search::read(&asked).unwrap();
+        assert_eq!((asked.from, asked.size), (0, search.window()));
+        let shard = Shard::new(planted(5, 200));
+        let Reply::Found(found) =
+            Reply::read(200, &shard.body("cues", &asked, Manner::Sound), "cues", &search)
+        else {
+            panic!("a sound answer is one");
+        };
+        let truth = shard.search(&asked);
+        let ids = |found: &ShardFound| found.hits.iter().map(|hit| hit.id.clone()).collect::<Vec<_>>();
+        assert_eq!((ids(&found), found.total), (ids(&truth), truth.total));
+    }
+}
+
+/// A node that half understands is a failed part that may have run, whatever it says.
+#[test_case(Manner::AllShards, "other shards"; "preference passed over")]
+#[test_case(Manner::TimedOut, "timed out"; "it ran out of time")]
+#[test_case(Manner::ShardFailed, "other shards"; "its shard failed")]
+#[test_case(Manner::WrongTotal, "fewer in all"; "totals that do not add up")]
+#[test_case(Manner::Unsorted, "not in the order"; "another order")]
+#[test_case(Manner::TooMany, "more hits"; "more than asked for")]
+#[test_case(Manner::OtherIndex, "another index"; "another index")]
+#[test_case(Manner::NoIds, "no _id"; "no ids")]
+#[test_case(Manner::UnknownField, "unknown field [terminated_early]"; "a field of another version")]
+#[test_case(Manner::CutShort, "EOF"; "cut short")]
+#[test_case(Manner::Page, "expected value"; "an error page")]
+#[test_case(Manner::NoAggregations, "no aggregations"; "aggregations left out")]
+fn half_an_understanding_is_a_failed_part(manner: Manner, says: &str) {
+    let search = Search::read(br#"{"size":8,"sort":"at","aggs":{"m":{"avg":{"field":"at"}}}}"#).unwrap();
+    let shard = Shard::new(planted(1, 100));
+    assert_eq!(
+        Reply::read(200, &shard.body("cues", &search, Manner::Sound), "cues", &search).landing(),
+        Landing::Honoured
+    );
+    let reply = Reply::read(200, &shard.body("cues", &search, manner), "cues", &search);
+    assert_eq!(reply.landing(), Landing::Erred);
+    assert!(matches!(&reply, Reply::Spoilt(why) if why.contains(says)), "{reply:?}");
+}
+
+#[test]
+fn only_a_full_queue_says_that_nothing_ran() {
+    let search = Search::default();
+    assert_eq!(Reply::read(429, b"", "cues", &search).landing(), Landing::TurnedAway);
+    for status in [500, 502, 503, 400, 404, 206, 302] {
+        assert_eq!(Reply::read(status, b"{}", "cues", &search).landing(), Landing::Erred);
+    }
+}
