--- a/crates/standins/src/searcher.rs
+++ b/crates/standins/src/searcher.rs
@@ -46,14 +46,20 @@
 /// A searcher on a port of its own; every frame it reads is also told.
 pub fn searcher(habit: Habit) -> (SocketAddr, Receiver<(u8, String)>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port on loopback");
-    let (address, (tell, told)) = (listener.local_addr().expect("its address"), channel());
+    let address = listener.local_addr().expect("its address");
+    (address, searcher_on(listener, habit))
+}
+
+/// The same where it is to be.
+pub fn searcher_on(listener: TcpListener, habit: Habit) -> Receiver<(u8, String)> {
+    let (tell, told) = channel();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let tell = tell.clone();
             thread::spawn(move || attend(stream, habit, &tell));
         }
     });
-    (address, told)
+    told
 }
 
 fn attend(mut stream: TcpStream, habit: Habit, tell: &Sender<(u8, String)>) {
