Many searches in one request, the searchers and the shards as tables

Need: player apps send their searches by the dozen; operators look at nodes and shards in that API's way. Change: _msearch as one scan after another on its client, answers in order, a bad line spoils no other, 1 MiB in all; _cat/nodes and _cat/shards as text and JSON.

--- a/crates/dialect/src/request.rs
+++ b/crates/dialect/src/request.rs
@@ -1,6 +1,6 @@
 //! A whole request, from method, target, headers and body.
 
-use crate::endpoint::{endpoint, preferred, Endpoint, Parameters};
+use crate::endpoint::{endpoint, many, preferred, Endpoint, Line, Parameters};
 use crate::fault::{Fault, Kind};
 use crate::query::fields;
 use crate::search::{Search, Totals};
@@ -24,6 +24,18 @@
 pub enum What {
     Root,
     Health,
+    /// The searchers, and the shards: as JSON, or as lines of text.
+    Nodes {
+        json: bool,
+    },
+    Shards {
+        json: bool,
+    },
+    /// Searches one after another, each of its own index or of this.
+    Many {
+        index: Option<String>,
+        lines: Vec<Line>,
+    },
     Search {
         index: String,
         search: Search,
@@ -86,9 +98,9 @@
             Endpoint::Put { id: None, .. } => {
                 return Err(Fault::argument("a document has to be given its id here: an id of ours would make a repeat a second document"));
             }
-            Endpoint::Many { .. } | Endpoint::Nodes { .. } | Endpoint::Shards { .. } => {
-                return Err(Fault::argument("not spoken by this mixer yet"));
-            }
+            Endpoint::Many { index } => What::Many { index, lines: many(body)? },
+            Endpoint::Nodes { json } => What::Nodes { json },
+            Endpoint::Shards { json } => What::Shards { json },
         };
         let timeout = match &what {
             What::Search { search, .. } => search.timeout,
@@ -102,7 +114,7 @@
 
     pub fn index(&self) -> Option<&str> {
         match &self.what {
-            What::Root | What::Health => None,
+            What::Root | What::Health | What::Nodes { .. } | What::Shards { .. } | What::Many { .. } => None,
             What::Search { index, .. } | What::Count { index, .. } | What::Edit { index, .. } => Some(index),
         }
     }
@@ -197,6 +209,18 @@
     })
 }
 
+/// Rows as JSON, or as lines of words under a head.
+pub fn table(names: &[&str], rows: &[Vec<String>], as_json: bool) -> String {
+    if as_json {
+        let row = |row: &Vec<String>| {
+            let fields = names.iter().zip(row).map(|(name, value)| (name.to_string(), value.as_str().into()));
+            serde_json::Value::Object(fields.collect())
+        };
+        return serde_json::Value::Array(rows.iter().map(row).collect()).to_string();
+    }
+    rows.iter().map(|row| row.join(" ") + "\n").collect()
+}
+
 /// An index that is not there.
 pub fn no_index(name: &str) -> Fault {
     Fault::new(Kind::IndexNotFound, format!("no such index [{name}]"))
--- a/crates/mixer/src/routing/desk.rs
+++ b/crates/mixer/src/routing/desk.rs
@@ -3,7 +3,7 @@
 use super::alarms::{Alarm, Alarms};
 use super::clients::{Clients, Doing};
 use super::pool::{Call, Link, Pool, Stand};
-use super::query::{self, Held};
+use super::query::{self, Batch, Held};
 use super::roll::Roll;
 use super::{CallId, ClientId, Effect, LinkId, Reply, Tongue};
 use crate::protocol::frames::{Asked, Errand};
@@ -59,6 +59,10 @@
     pub landed: VecDeque<(Ticket, Landing, Span)>,
     /// Checks that ended while the module was busy.
     pub checked: VecDeque<(Searcher, bool)>,
+    /// Clients that asked for several scans in one request; each goes with its answer, or its client.
+    pub batches: BTreeMap<ClientId, Batch>,
+    /// Those of them whose last scan has ended.
+    pub going_on: VecDeque<ClientId>,
     pub pool: Pool,
     pub roll: Roll,
     pub alarms: Alarms,
@@ -290,6 +294,11 @@
     }
 
     pub fn reply(&mut self, client: ClientId, reply: Reply, last: bool) {
+        if let Some(batch) = self.batches.get_mut(&client) {
+            batch.ended(&reply);
+            self.going_on.push_back(client);
+            return;
+        }
         let last = last || self.stopping || self.clients.ends_with_answer(client, self.now);
         self.clients.set(client, if last { Doing::Leaving } else { Doing::Idle }, self.now);
         self.effects.push(Effect::Reply { client, reply, last });
--- a/crates/mixer/src/routing/query.rs
+++ b/crates/mixer/src/routing/query.rs
@@ -7,14 +7,15 @@
 use crate::protocol::scans::{Ask, AskedPart, Blame};
 use fernglade::{Effect as Redoing, Landing, Moment, TrafficType};
 use fernglade_dialect::answer::{bounced, counted, found, written_off, Missing, Shards};
+use fernglade_dialect::endpoint::Line;
 use fernglade_dialect::errand::errand;
 use fernglade_dialect::merge::Merge;
 use fernglade_dialect::reply::Reply as NodeReply;
 use fernglade_dialect::request::{no_index, Request, What};
 use fernglade_dialect::search::Search;
-use fernglade_dialect::Fault;
+use fernglade_dialect::{Fault, Kind};
 use fernglade_orders::{Dialect, Index};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// What is kept of a request while its scan is open.
 pub struct Held {
@@ -26,6 +27,63 @@
     began: Moment,
 }
 
+/// What all answers of one body may take together: as many as a few full ones.
+const MOST_MANY: usize = 1024 * 1024;
+
+/// Searches that one request holds: each is a scan of its own, one after another, and a bad one spoils no other.
+pub struct Batch {
+    index: Option<String>,
+    lines: VecDeque<Line>,
+    answers: Vec<serde_json::Value>,
+    size: usize,
+    opaque: Option<String>,
+    began: Moment,
+}
+
+impl Batch {
+    pub fn new(index: Option<String>, lines: Vec<Line>, opaque: Option<String>, began: Moment) -> Self {
+        Self { index, lines: lines.into(), answers: Vec::new(), size: 0, opaque, began }
+    }
+
+    /// The next that can be asked; those before it that can't have their answers.
+    pub fn next(&mut self) -> Option<Request> {
+        while let Some((index, search)) = self.lines.pop_front() {
+            let index = index.or_else(|| self.index.clone());
+            let index = index.ok_or_else(|| Fault::argument("index is missing"));
+            let over = || Fault::new(Kind::TooLarge, "the answers before this one took all the room");
+            match index.and_then(|index| Ok((index, search?))) {
+                Ok(_) if self.size > MOST_MANY => self.take(over().body()),
+                Ok((index, search)) => {
+                    let timeout = search.timeout;
+                    let what = What::Search { index, search };
+                    return Some(Request { what, shards: None, partial: None, timeout, opaque: None });
+                }
+                Err(fault) => self.take(fault.body()),
+            }
+        }
+        None
+    }
+
+    fn take(&mut self, answer: serde_json::Value) {
+        self.answers.push(answer);
+    }
+
+    /// One of them has ended.
+    pub fn ended(&mut self, reply: &Reply) {
+        let Reply::Dialect { status, body, .. } = reply else { return };
+        self.size += body.len();
+        let mut answer: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+        answer["status"] = (*status).into();
+        self.take(answer);
+    }
+
+    pub fn reply(self, now: Moment) -> Reply {
+        let took = now.since(self.began).micros() / 1000;
+        let all = serde_json::json!({"took": took, "responses": self.answers});
+        reply(Ok(all), fernglade::Span::ZERO, self.opaque)
+    }
+}
+
 /// The indices, checked against the deployment's settings.
 pub struct Indices {
     all: BTreeMap<String, Index>,
@@ -89,7 +147,7 @@
                 let all = request.shards.clone().unwrap_or_else(|| (0..self.shards).collect());
                 (&index.searches, all, asked_of_nodes(name, search), None)
             }
-            What::Root | What::Health => return Err(no_index(name)),
+            _ => return Err(no_index(name)),
         };
         let Some((_, kind)) = types.iter().find(|(known, _)| known == traffic_type) else {
             return Err(no_index(name));
@@ -163,7 +221,7 @@
             What::Search { index, .. } | What::Count { index, .. } => {
                 Some(Asked { path: format!("/{index}/_search"), body: text.into(), search: true })
             }
-            What::Root | What::Health => None,
+            _ => None,
         }
     }
 
@@ -176,7 +234,7 @@
         let (index, search) = match &self.request.what {
             What::Edit { index, edit } => return Ok(edit.saved(index)),
             What::Search { index, search } | What::Count { index, search } => (index, search),
-            What::Root | What::Health => return Err(no_index("")),
+            _ => return Err(no_index("")),
         };
         let mut merge = Merge::new(search);
         let mut shards = Shards { total: open.parts.len(), missing: Vec::new() };
--- a/crates/mixer/src/routing/roll.rs
+++ b/crates/mixer/src/routing/roll.rs
@@ -84,6 +84,16 @@
         self.numbers.name(searcher)
     }
 
+    /// Each that is listed: its name, its address, whether it is ready, what it speaks.
+    pub fn rows(&self) -> impl Iterator<Item = Vec<String>> + '_ {
+        self.lines.iter().map(|(searcher, line)| {
+            let name = self.numbers.name(*searcher).cloned().unwrap_or_default();
+            let ready = if line.ready { "ready" } else { "draining" };
+            let tongue = if line.tongue == Tongue::Dialect { "dialect" } else { "frames" };
+            vec![name, line.address.to_string(), ready.into(), tongue.into()]
+        })
+    }
+
     /// How many are ready, and how many are listed.
     pub fn ready_and_listed(&self) -> (usize, usize) {
         (self.lines.values().filter(|line| line.ready).count(), self.lines.len())
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -4,7 +4,7 @@
 use super::clients::{Clients, Doing, HALF_ASKED};
 use super::desk::{Desk, Open};
 use super::pool::Stand;
-use super::query::{self, Held, Indices};
+use super::query::{self, Batch, Held, Indices};
 use super::{ClientId, Effect, Ending, Event, LinkId, Reply, Tongue};
 use crate::protocol::frames::PartEnd;
 use crate::protocol::lists::News;
@@ -13,7 +13,7 @@
 use fernglade::choice::Mixer;
 use fernglade::{Effect as Redoing, Host, Landing, Moment, PartTaken, ScanTaken, Span, Ticket, TrafficType};
 use fernglade_admission::{Act, Descriptors, Guest};
-use fernglade_dialect::request::{health, root, Request, What};
+use fernglade_dialect::request::{health, root, table, Request, What};
 use fernglade_fronts::{Misread, Readings};
 use fernglade_orders::Operator;
 use std::collections::BTreeSet;
@@ -113,6 +113,8 @@
                 self.mixer.landed(&mut self.desk, ticket, how, took);
             } else if let Some((searcher, there)) = self.desk.checked.pop_front() {
                 self.mixer.checked(&mut self.desk, searcher, there);
+            } else if let Some(client) = self.desk.going_on.pop_front() {
+                self.go_on(client);
             } else if !self.desk.place_all() {
                 break;
             }
@@ -169,6 +171,24 @@
         let Some(Doing::Asking(began)) = self.desk.clients.doing(client) else { return };
         let opaque = request.opaque.clone();
         let told = match request.what {
+            What::Many { index, lines } => {
+                self.desk.batches.insert(client, Batch::new(index, lines, opaque, began));
+                return self.go_on(client);
+            }
+            What::Nodes { json } => {
+                let rows: Vec<_> = self.desk.roll.rows().collect();
+                return self.tell_table(client, &["name", "address", "state", "speaks"], rows, json);
+            }
+            What::Shards { json } => {
+                let state = if self.desk.roll.any_ready() { "STARTED" } else { "UNASSIGNED" };
+                let row = |shard: u32| vec![shard.to_string(), state.to_string()];
+                return self.tell_table(
+                    client,
+                    &["shard", "state"],
+                    (0..self.shards).map(row).collect(),
+                    json,
+                );
+            }
             What::Root => Ok(root(&self.name)),
             What::Health => Ok(health(self.desk.roll.ready_and_listed(), self.shards)),
             _ => match self.indices.ask(request, &self.types, began) {
@@ -179,6 +199,26 @@
         self.desk.reply(client, query::reply(told, Span::ZERO, opaque), false);
     }
 
+    fn tell_table(&mut self, client: ClientId, names: &[&str], rows: Vec<Vec<String>>, json: bool) {
+        let body = table(names, &rows, json);
+        let reply = Reply::Dialect { status: 200, body, pause: Span::ZERO, opaque: None };
+        self.desk.reply(client, reply, false);
+    }
+
+    /// The next scan of a request that holds several, or their answer once all have ended.
+    fn go_on(&mut self, client: ClientId) {
+        let now = self.desk.now;
+        let Some(batch) = self.desk.batches.get_mut(&client) else { return };
+        let Some(request) = batch.next() else {
+            let reply = self.desk.batches.remove(&client).map(|batch| batch.reply(now));
+            return reply.into_iter().for_each(|reply| self.desk.reply(client, reply, false));
+        };
+        match self.indices.ask(request, &self.types, now) {
+            Ok((ask, held)) => self.open(client, ask, now, Some(held)),
+            Err(fault) => self.desk.reply(client, query::reply(Err(fault), Span::ZERO, None), false),
+        }
+    }
+
     fn open(&mut self, client: ClientId, ask: Ask, began: Moment, query: Option<Held>) {
         let scan = match self.taken(&ask, began) {
             Ok(scan) => scan,
@@ -246,6 +286,7 @@
     }
 
     fn client_gone(&mut self, client: ClientId) {
+        self.desk.batches.remove(&client);
         if let Some(Doing::Waiting(id)) = self.desk.clients.gone(client, self.desk.now) {
             self.desk.close(id);
             self.mixer.client_left(&mut self.desk, id);
