--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -43,8 +43,13 @@
 }
 
 impl Door {
-    fn move_to(&self, which: &Cell<bool>, to: bool) {
-        which.set(to);
+    fn open(&self, open: bool) {
+        self.full.set(!open);
+        self.moved.ring();
+    }
+
+    fn shut(&self) {
+        self.shut.set(true);
         self.moved.ring();
     }
 }
@@ -52,7 +57,9 @@
 /// All clients' connections: those that were accepted and have no place yet, those inside, and those that hear a
 /// refusal.
 pub struct Clients {
-    door: Door,
+    /// One for each address that is listened on.
+    doors: Vec<Door>,
+    count: Cell<u64>,
     porch: RefCell<BTreeMap<ClientId, TcpStream>>,
     inside: RefCell<BTreeMap<ClientId, Rc<Talk>>>,
     teller: Teller,
@@ -64,10 +71,11 @@
 
 impl Clients {
     /// So many may stand half closed until they have fetched their refusal.
-    pub fn new(most_told: usize, indices: BTreeSet<String>) -> Self {
+    pub fn new(listeners: usize, most_told: usize, indices: BTreeSet<String>) -> Self {
         Self {
             indices,
-            door: Door::default(),
+            doors: (0..listeners).map(|_| Door::default()).collect(),
+            count: Cell::new(0),
             porch: RefCell::default(),
             inside: RefCell::default(),
             teller: Teller::new(most_told),
@@ -76,11 +84,11 @@
     }
 
     pub fn open_door(&self, open: bool) {
-        self.door.move_to(&self.door.full, !open);
+        self.doors.iter().for_each(|door| door.open(open));
     }
 
     pub fn shut_door(&self) {
-        self.door.move_to(&self.door.shut, true);
+        self.doors.iter().for_each(Door::shut);
     }
 
     /// Lets in one that waits on the porch.
@@ -132,12 +140,12 @@
 }
 
 /// Accepts whoever stands outside, in batches, as long as the door is open.
-pub async fn accept_all(clients: Rc<Clients>, handle: Handle, listener: Async<TcpListener>) {
-    let (mut count, mut short, mut reserve) = (0, false, Reserve::default());
-    let door = &clients.door;
-    let mut knock = |accepted: Accepted| {
-        count += 1;
-        let client = ClientId(count);
+pub async fn accept_all(clients: Rc<Clients>, handle: Handle, which: usize, listener: Async<TcpListener>) {
+    let (mut short, mut reserve) = (false, Reserve::default());
+    let door = &clients.doors[which];
+    let knock = |accepted: Accepted| {
+        clients.count.set(clients.count.get() + 1);
+        let client = ClientId(clients.count.get());
         clients.porch.borrow_mut().insert(client, accepted.stream);
         handle.feed(Event::Knocked(client, accepted.from));
     };
--- a/crates/mixer/src/program/hub.rs
+++ b/crates/mixer/src/program/hub.rs
@@ -14,6 +14,7 @@
 use futures_lite::{future, StreamExt};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,7 +45,10 @@
     let mut state = state.map_err(|what| what.to_string())?;
     let first = state.begin(&orders.known, orders.discovery, clock.now());
     let indices = orders.operator.dialect().indices.keys().cloned().collect();
-    let listener = listen(orders.listen).map_err(|e| format!("cannot listen on {}: {e}", orders.listen))?;
+    let further = orders.operator.dialect().listen;
+    let at: Vec<_> = std::iter::once(orders.listen).chain(further).collect();
+    let listens = |at: &SocketAddr| listen(*at).map_err(|e| format!("cannot listen on {at}: {e}"));
+    let listeners = at.iter().map(listens).collect::<Result<Vec<_>, _>>()?;
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
         .map_err(|e| format!("cannot take signals: {e}"))?;
     let hub = Rc::new_cyclic(|hub: &std::rc::Weak<Hub>| {
@@ -60,7 +64,7 @@
             busy: Cell::new(false),
             clock,
             handle: Handle::new(executor, feed),
-            clients: Rc::new(Clients::new(orders.descriptors.told, indices)),
+            clients: Rc::new(Clients::new(at.len(), orders.descriptors.told, indices)),
             links: Rc::default(),
             watch: Rc::default(),
             alarm: Cell::new(None),
@@ -71,7 +75,9 @@
     log::info!("{} listens on {}, {} searchers known", orders.name, orders.listen, orders.known.rows.len());
     first.into_iter().for_each(|effect| hub.act(effect));
     let handle = &hub.handle;
-    handle.spawn(clients::accept_all(hub.clients.clone(), handle.clone(), listener));
+    for (which, listener) in listeners.into_iter().enumerate() {
+        handle.spawn(clients::accept_all(hub.clients.clone(), handle.clone(), which, listener));
+    }
     handle.spawn(clients::tell_all(hub.clients.clone()));
     handle.spawn(watch::keep(hub.watch.clone(), handle.clone()));
     handle.spawn(ring(hub.clone()));
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -781,3 +781,32 @@
     assert!(desk.relays.is_empty() && desk.names.is_empty() && desk.held == 0);
     assert!(desk.pool.links.values().all(|link| link.calls.is_empty()) && desk.pool.links.len() <= 2);
 }
+
+/// A search of the query dialect whose first node fails, with the other told to drain meanwhile: nothing goes there.
+#[test]
+fn a_drain_told_between_two_relays_of_a_search_is_kept() {
+    let readings = Readings::parse(SETTINGS.as_bytes()).unwrap();
+    let operator =
+        Operator::read("{ dialect: { indices: { cues: { searches: 'look', customer: 'acme' } } } }").unwrap();
+    let state = State::new(&readings, 7, berths(10, 10), &operator, "n0").unwrap();
+    let now = Moment::at_micros(1_764_000_000_000_000);
+    let mut play = Play { state, now, alarm: None, effects: Vec::new(), clients: 0 };
+    let effects = play.state.begin(&news(5, true, vec![row(0, true), row(1, true)]), DISCOVERY, now);
+    play.take(effects);
+    let client = play.come();
+    play.feed(Event::Stirred(client));
+    let request =
+        fernglade_dialect::request::Request::read("GET", "/cues/_search?preference=_shards:2", |_| None, b"");
+    play.feed(Event::Queried(client, Box::new(request.unwrap())));
+    let dialled = play.dials();
+    let (link, first) = dialled[0];
+    play.feed(Event::LinkUp(link));
+    let sent = play.handed()[0].clone();
+    play.feed(Event::CallOut(link, sent.call));
+    let other = 1 - first;
+    play.feed(Event::Told(news(6, false, vec![row(other, false)])));
+    play.back(link, &sent.errands[0].id, PartEnd::Honoured, "no answer of this dialect");
+    assert!(play.dials().is_empty() && play.handed().is_empty(), "the other drains");
+    let ends = play.replies();
+    assert!(matches!(&ends[..], [(to, Reply::Dialect { status: 429, .. }, _)] if *to == client), "{ends:?}");
+}
--- a/crates/mixer/tests/dialect.rs
+++ b/crates/mixer/tests/dialect.rs
@@ -306,3 +306,50 @@
     assert!(sent.len() <= 1, "no scan after the first: {sent:?}");
     assert_eq!(asks(&mut after, "GET", "/_cluster/health", "", "").0, 200);
 }
+
+/// The same mix through both doors on sockets: before the same searchers, the same verdicts.
+#[test]
+fn both_doors_come_to_the_same_verdicts_on_sockets() {
+    let (mixer, _told) = mixer("both", &[cue_node, odd_node, cue_node], ("", ""));
+    let mut clients = [mixer.client(), mixer.client()];
+    let search = r#"{"query":{"match_all":{}},"size":3}"#;
+    for number in 0..30u32 {
+        let shards: Vec<u32> =
+            (0..4).filter(|shard| number & (1 << shard) != 0 || *shard == number % 4).collect();
+        let words: Vec<String> = shards.iter().map(u32::to_string).collect();
+        let platform = fernglade_standins::client::scan_for(
+            &search.replace('"', "\\\""),
+            &format!("b{number}"),
+            &shards,
+        );
+        say(&mut clients[0], platform);
+        let (status, _, body) = answer(&mut clients[0]);
+        let target = format!("/cues/_search?preference=_shards:{}", words.join(","));
+        let (dialect, _, found) = asks(&mut clients[1], "POST", &target, "", search);
+        assert_eq!((status, dialect), (200, 200), "{body} {found}");
+        assert!(body.contains("\"total\":true"), "{body}");
+        assert_eq!(
+            (&found["_shards"]["total"], &found["_shards"]["failed"]),
+            (&shards.len().into(), &0.into())
+        );
+    }
+}
+
+/// A further listener serves as the first does, and is stopped with it.
+#[test]
+fn a_further_listener_serves_both_kinds() {
+    let (addresses, _told) = searcher(cue_node);
+    let (at, further, known) = (free_address(), free_address(), list(&[addresses]));
+    let orders = file("dialect-further.json", &orders(&at.to_string(), agent(known.clone()), &known));
+    let rules = RULES.replace("indices:", &format!("listen: '{further}', indices:"));
+    let operator = file("dialect-further.json5", &rules);
+    let mut mixer = start(Path::new(env!("CARGO_BIN_EXE_fernglade-mixer")), 256, orders, Some(operator), at);
+    for listens in [at, further] {
+        let mut client = fernglade_standins::client::client(listens);
+        assert_eq!(asks(&mut client, "GET", "/cues/_search", "", "").0, 200);
+        say(&mut client, fernglade_standins::client::scan(&format!("f{}", listens.ip()), &[0]));
+        assert_eq!(answer(&mut client).0, 200);
+    }
+    mixer.signal("-TERM");
+    assert!(mixer.child.wait().unwrap().success());
+}
--- a/crates/orders/src/dialect.rs
+++ b/crates/orders/src/dialect.rs
@@ -2,12 +2,15 @@
 
 use serde::Deserialize;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 /// Nothing is spoken where no index is named.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Dialect {
     pub indices: BTreeMap<String, Index>,
+    /// A further address to listen on; both serve both kinds of request.
+    pub listen: Option<SocketAddr>,
     /// Searchers that speak the dialect themselves, over HTTP/1.1: their names, a `*` at an end standing for any rest.
     pub nodes: Vec<String>,
 }
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -47,6 +47,7 @@
 }
 
 fn attend(stream: TcpStream, way: Way, tell: &Sender<Asked>) -> Option<()> {
+    let _ = stream.set_nodelay(true);
     let mut asks = BufReader::new(stream);
     loop {
         let mut head = String::new();
--- a/crates/standins/src/searcher.rs
+++ b/crates/standins/src/searcher.rs
@@ -63,6 +63,7 @@
 }
 
 fn attend(mut stream: TcpStream, habit: Habit, tell: &Sender<(u8, String)>) {
+    let _ = stream.set_nodelay(true);
     let mut length = [0; 4];
     while stream.read_exact(&mut length).is_ok() {
         let mut body = vec![0; u32::from_be_bytes(length) as usize];
