A node of the query dialect is asked its version at first contact, and it is written down

Need: on call, the first question about a node that spoils its parts is which version it speaks. Change: GET / ahead of the first part on the first link to an address; one log line where it is news, and the version in _cat/nodes.

--- a/crates/mixer/src/program/hub.rs
+++ b/crates/mixer/src/program/hub.rs
@@ -165,6 +165,10 @@
             Effect::Withdraw(link, call) => links.withdraw(handle, link, call),
             Effect::GiveUp { link, id } => links.give_up(handle, link, &id),
             Effect::Check(link) => links.check(handle, link),
+            Effect::AskVersion(link) => links.ask_version(handle, link),
+            Effect::Spoke { to, version } => {
+                log::info!("node {to} speaks the query dialect, version {version}")
+            }
             Effect::HangUp(link) => links.hang_up(link),
             Effect::Cut(link) => links.cut(link),
             Effect::Watch { at, after } => self.watch.wish(at, after),
--- a/crates/mixer/src/program/links.rs
+++ b/crates/mixer/src/program/links.rs
@@ -39,6 +39,7 @@
 enum Question {
     Part(String),
     Check,
+    Version,
 }
 
 impl Links {
@@ -85,6 +86,13 @@
         }
     }
 
+    /// At a node's first contact, ahead of its first part.
+    pub fn ask_version(&self, handle: &Handle, link: LinkId) {
+        let Some(near) = self.near(link) else { return };
+        near.asked.borrow_mut().push_back(Question::Version);
+        self.write(handle, link, UNTOLD, get("/", &near.to.to_string()));
+    }
+
     /// Where the searcher takes nothing and the bound is reached, the link is over.
     fn write(&self, handle: &Handle, link: LinkId, tag: u64, frame: Vec<u8>) {
         if self.near(link).is_some_and(|near| !near.line.outbox.push(tag, frame)) {
@@ -96,7 +104,7 @@
         let Some(near) = self.near(link) else { return };
         if near.line.outbox.withdraw(call.0) {
             // It was the one part asked there; a check may stand beside it.
-            near.asked.borrow_mut().retain(|question| matches!(question, Question::Check));
+            near.asked.borrow_mut().retain(|question| !matches!(question, Question::Part(_)));
             handle.feed(Event::Withdrawn(link, call));
         }
     }
@@ -238,6 +246,7 @@
                 handle.feed(Event::PartBack { link, id, end, value });
             }
             Some(Question::Check) => handle.feed(Event::CheckBack(link, message.start[1] == "200")),
+            Some(Question::Version) => handle.feed(Event::Speaks(link, nodes::version(&message))),
             None => return ControlFlow::Break(Ending::Garbled),
         }
         if !message.keeps() {
--- a/crates/mixer/src/routing/desk.rs
+++ b/crates/mixer/src/routing/desk.rs
@@ -150,6 +150,9 @@
         let Some(link) = self.pool.links.get_mut(&id) else { return };
         link.up = true;
         let calls: Vec<CallId> = link.calls.keys().copied().collect();
+        if link.tongue == Tongue::Dialect && !self.roll.knows_version(link.to) {
+            self.effects.push(Effect::AskVersion(id));
+        }
         if link.checking {
             self.effects.push(Effect::Check(id));
         }
--- a/crates/mixer/src/routing/event.rs
+++ b/crates/mixer/src/routing/event.rs
@@ -45,6 +45,8 @@
     Misasked(ClientId, Blame, bool),
     ClientGone(ClientId),
     LinkUp(LinkId),
+    /// A node of the query dialect said which version it speaks.
+    Speaks(LinkId, String),
     /// A call's last byte was written.
     CallOut(LinkId, CallId),
     /// A call was taken back, and none of it was written.
@@ -110,6 +112,8 @@
         id: String,
     },
     Check(LinkId),
+    /// Asks a node of the query dialect which version it speaks.
+    AskVersion(LinkId),
     HangUp(LinkId),
     /// Ends a link whatever is going on there; what waits to be written never is.
     Cut(LinkId),
@@ -126,6 +130,11 @@
         to: String,
         ending: Ending,
     },
+    /// A node's version was learnt, for the log.
+    Spoke {
+        to: String,
+        version: String,
+    },
     /// All is done: the program may end.
     Leave,
 }
--- a/crates/mixer/src/routing/roll.rs
+++ b/crates/mixer/src/routing/roll.rs
@@ -25,6 +25,8 @@
 
 struct Line {
     tongue: Tongue,
+    /// What a node of the query dialect said that it speaks, at this address.
+    version: Option<String>,
     address: SocketAddr,
     ready: bool,
 }
@@ -63,7 +65,9 @@
     fn list(&mut self, row: &Row) -> Listing {
         let searcher = self.numbers.number(&row.name);
         let tongue = if self.dialect.speaks(&row.name) { Tongue::Dialect } else { Tongue::Frames };
-        self.lines.insert(searcher, Line { tongue, address: row.address, ready: row.ready });
+        let known = self.lines.get(&searcher).filter(|line| line.address == row.address);
+        let version = known.and_then(|line| line.version.clone());
+        self.lines.insert(searcher, Line { tongue, version, address: row.address, ready: row.ready });
         let dear = self.dear_outside.as_ref().is_some_and(|home| *home != row.zone);
         Listing { searcher, cell: row.cell, ready: row.ready, started: row.started, dear }
     }
@@ -76,6 +80,16 @@
         self.lines.get(&searcher).map(|line| line.tongue).unwrap_or_default()
     }
 
+    pub fn knows_version(&self, searcher: Searcher) -> bool {
+        self.lines.get(&searcher).is_some_and(|line| line.version.is_some())
+    }
+
+    /// True where it is news.
+    pub fn note_version(&mut self, searcher: Searcher, version: &str) -> bool {
+        let Some(line) = self.lines.get_mut(&searcher) else { return false };
+        line.version.replace(version.into()).as_deref() != Some(version)
+    }
+
     pub fn is_ready(&self, searcher: Searcher) -> bool {
         self.lines.get(&searcher).is_some_and(|line| line.ready)
     }
@@ -89,8 +103,12 @@
         self.lines.iter().map(|(searcher, line)| {
             let name = self.numbers.name(*searcher).cloned().unwrap_or_default();
             let ready = if line.ready { "ready" } else { "draining" };
-            let tongue = if line.tongue == Tongue::Dialect { "dialect" } else { "frames" };
-            vec![name, line.address.to_string(), ready.into(), tongue.into()]
+            let version = line.version.as_deref().unwrap_or("unknown");
+            let tongue = match line.tongue {
+                Tongue::Dialect => format!("dialect-{version}"),
+                Tongue::Frames => "frames".into(),
+            };
+            vec![name, line.address.to_string(), ready.into(), tongue]
         })
     }
 
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -338,6 +338,16 @@
         Landing::Honoured
     }
 
+    fn speaks(&mut self, link_id: LinkId, version: String) {
+        let Some(link) = self.desk.pool.links.get_mut(&link_id) else { return };
+        link.heard(self.desk.now);
+        let to = link.to;
+        if self.desk.roll.note_version(to, &version) {
+            let to = self.desk.roll.name(to).cloned().unwrap_or_default();
+            self.desk.effects.push(Effect::Spoke { to, version });
+        }
+    }
+
     fn check_back(&mut self, link_id: LinkId, there: bool) {
         if let Some(link) = self.desk.pool.links.get_mut(&link_id) {
             link.heard(self.desk.now);
@@ -457,6 +467,7 @@
         Event::Misasked(client, blame, lost) => state.desk.reply(client, Reply::Refusal(blame), lost),
         Event::ClientGone(client) => state.client_gone(client),
         Event::LinkUp(link) => state.desk.link_up(link),
+        Event::Speaks(link, version) => state.speaks(link, version),
         Event::CallOut(link, call) => state.desk.call_out(link, call),
         Event::Withdrawn(link, call) => state.desk.withdrawn(link, call),
         Event::PartBack { link, id, end, value } => state.part_back(link, &id, end, value),
--- a/crates/mixer/tests/dialect.rs
+++ b/crates/mixer/tests/dialect.rs
@@ -175,6 +175,8 @@
         given["took"] = 0.into();
         assert_eq!(given, truth(body));
     }
+    let (_, _, nodes) = asks(&mut client, "GET", "/_cat/nodes?format=json", "", "");
+    assert!(nodes.as_array().unwrap().iter().any(|node| node["speaks"] == "dialect-2.11.0"), "{nodes}");
     let asked: Vec<Asked> = told.iter().flat_map(|told| told.try_iter()).collect();
     assert_eq!(asked.len(), 8);
     for (_, target, _, _) in &asked {
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -64,7 +64,8 @@
         let (method, target) = (words.next()?.to_string(), words.next()?.to_string());
         let to = asks.get_mut();
         if method == "GET" {
-            say(to, 200, "{}", false)?;
+            let root = if target == "/" { r#"{"version":{"number":"2.11.0"}}"# } else { "{}" };
+            say(to, 200, root, false)?;
             continue;
         }
         let _ = tell.send((method, target.clone(), head, body.clone()));
