--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -219,7 +219,11 @@
         }
     }
 
-    fn open(&mut self, client: ClientId, ask: Ask, began: Moment, query: Option<Held>) {
+    fn open(&mut self, client: ClientId, mut ask: Ask, began: Moment, query: Option<Held>) {
+        // A name of ours that somebody's request has taken by chance or malice gives way.
+        while query.is_some() && self.desk.names.contains(&ask.name) {
+            ask.name.push('x');
+        }
         let scan = match self.taken(&ask, began) {
             Ok(scan) => scan,
             Err(blame) => {
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -810,3 +810,26 @@
     let ends = play.replies();
     assert!(matches!(&ends[..], [(to, Reply::Dialect { status: 429, .. }, _)] if *to == client), "{ends:?}");
 }
+
+/// A request of the platform's front that bears the name the next search would have.
+#[test]
+fn a_search_whose_name_is_taken_by_the_other_front_has_another() {
+    let readings = Readings::parse(SETTINGS.as_bytes()).unwrap();
+    let operator =
+        Operator::read("{ dialect: { indices: { cues: { searches: 'look', customer: 'acme' } } } }").unwrap();
+    let state = State::new(&readings, 7, berths(10, 10), &operator, "n0").unwrap();
+    let now = Moment::at_micros(1_764_000_000_000_000);
+    let mut play = Play { state, now, alarm: None, effects: Vec::new(), clients: 0 };
+    let effects = play.state.begin(&news(5, true, vec![row(0, true)]), DISCOVERY, now);
+    play.take(effects);
+    play.ask(ask("q7-1", "look", &[0]));
+    let client = play.come();
+    play.feed(Event::Stirred(client));
+    let request =
+        fernglade_dialect::request::Request::read("GET", "/cues/_search?preference=_shards:0", |_| None, b"");
+    play.feed(Event::Queried(client, Box::new(request.unwrap())));
+    assert!(play.replies().is_empty(), "both are open");
+    let ids: Vec<String> =
+        play.connect().iter().flat_map(|h| &h.errands).map(|errand| errand.id.clone()).collect();
+    assert_eq!(ids, ["q7-1.0", "q7-1x.0"]);
+}
