--- a/crates/admission/src/house.rs
+++ b/crates/admission/src/house.rs
@@ -307,6 +307,17 @@
         }
     }
 
+    /// Those without an open scan keep to their share; then whoever waits has what is free.
+    fn even_out(&mut self, now: Moment, acts: &mut Vec<Act>) {
+        let most = self.rules.still_of(self.places(now));
+        while self.guests.still_inside() > most {
+            let goes = self.guests.greatest(false).or_else(|| self.guests.greatest(true));
+            self.ask_to_leave(now, goes.map(|(.., guest)| guest), acts);
+        }
+        self.let_in(now, acts);
+        self.mind_door(now, acts);
+    }
+
     /// A guest inside is about something else now.
     pub fn stand(&mut self, now: Moment, guest: Guest, standing: Standing) -> Vec<Act> {
         let mut acts = Vec::new();
@@ -315,19 +326,13 @@
             return acts;
         }
         self.guests.change(guest, |line| (line.inside, line.since) = (Some(standing), now));
-        let places = self.places(now);
         if standing == Standing::Idle {
             let over = self.rules.per_caller.is_some_and(|most| self.guests.tally(line.caller).held > most);
             if over {
                 self.ask_to_leave(now, Some(guest), &mut acts);
             }
         }
-        while self.guests.still_inside() > self.rules.still_of(places) {
-            let goes = self.guests.greatest(false).or_else(|| self.guests.greatest(true));
-            self.ask_to_leave(now, goes.map(|(.., guest)| guest), &mut acts);
-        }
-        self.let_in(now, &mut acts);
-        self.mind_door(now, &mut acts);
+        self.even_out(now, &mut acts);
         acts
     }
 
@@ -390,13 +395,7 @@
                 }
             }
         }
-        let places = self.places(now);
-        while self.guests.still_inside() > self.rules.still_of(places) {
-            let goes = self.guests.greatest(false).or_else(|| self.guests.greatest(true));
-            self.ask_to_leave(now, goes.map(|(.., guest)| guest), &mut acts);
-        }
-        self.let_in(now, &mut acts);
-        self.mind_door(now, &mut acts);
+        self.even_out(now, &mut acts);
         acts
     }
 
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -782,17 +782,24 @@
     assert!(desk.pool.links.values().all(|link| link.calls.is_empty()) && desk.pool.links.len() <= 2);
 }
 
-/// A search of the query dialect whose first node fails, with the other told to drain meanwhile: nothing goes there.
-#[test]
-fn a_drain_told_between_two_relays_of_a_search_is_kept() {
+/// Before so many searchers, with the index `cues` of the query dialect.
+fn play_in_dialect(searchers: u16) -> Play {
     let readings = Readings::parse(SETTINGS.as_bytes()).unwrap();
     let operator =
         Operator::read("{ dialect: { indices: { cues: { searches: 'look', customer: 'acme' } } } }").unwrap();
     let state = State::new(&readings, 7, berths(10, 10), &operator, "n0").unwrap();
     let now = Moment::at_micros(1_764_000_000_000_000);
     let mut play = Play { state, now, alarm: None, effects: Vec::new(), clients: 0 };
-    let effects = play.state.begin(&news(5, true, vec![row(0, true), row(1, true)]), DISCOVERY, now);
+    let known = news(5, true, (0..searchers).map(|number| row(number, true)).collect());
+    let effects = play.state.begin(&known, DISCOVERY, now);
     play.take(effects);
+    play
+}
+
+/// A search of the query dialect whose first node fails, with the other told to drain meanwhile: nothing goes there.
+#[test]
+fn a_drain_told_between_two_relays_of_a_search_is_kept() {
+    let mut play = play_in_dialect(2);
     let client = play.come();
     play.feed(Event::Stirred(client));
     let request =
@@ -814,14 +821,7 @@
 /// A request of the platform's front that bears the name the next search would have.
 #[test]
 fn a_search_whose_name_is_taken_by_the_other_front_has_another() {
-    let readings = Readings::parse(SETTINGS.as_bytes()).unwrap();
-    let operator =
-        Operator::read("{ dialect: { indices: { cues: { searches: 'look', customer: 'acme' } } } }").unwrap();
-    let state = State::new(&readings, 7, berths(10, 10), &operator, "n0").unwrap();
-    let now = Moment::at_micros(1_764_000_000_000_000);
-    let mut play = Play { state, now, alarm: None, effects: Vec::new(), clients: 0 };
-    let effects = play.state.begin(&news(5, true, vec![row(0, true)]), DISCOVERY, now);
-    play.take(effects);
+    let mut play = play_in_dialect(1);
     play.ask(ask("q7-1", "look", &[0]));
     let client = play.come();
     play.feed(Event::Stirred(client));
