--- a/crates/admission/src/rules.rs
+++ b/crates/admission/src/rules.rs
@@ -3,7 +3,7 @@
 use crate::Known;
 use fernglade::Span;
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct HouseRules {
     /// Connections that one caller may hold, and one prefix; none where that is not limited.
     pub per_caller: Option<usize>,
@@ -20,21 +20,6 @@
     pub come_back: Option<Span>,
 }
 
-impl Default for HouseRules {
-    fn default() -> Self {
-        Self {
-            per_caller: None,
-            per_prefix: None,
-            caller_pace: None,
-            whole_pace: None,
-            kept: 0.0,
-            known: Known::default(),
-            for_open: 0.0,
-            come_back: None,
-        }
-    }
-}
-
 impl HouseRules {
     /// How many of the places are kept for known callers: rounded up, but never all of them.
     pub fn kept_of(&self, places: usize) -> usize {
--- a/crates/dialect/src/answer.rs
+++ b/crates/dialect/src/answer.rs
@@ -120,18 +120,6 @@
     }
 }
 
-/// Several searches' answers in one body, each with its status, in the order of the lines.
-pub fn many(answers: Vec<Result<Value, Fault>>, took: Span) -> Value {
-    let each = |answer: Result<Value, Fault>| match answer {
-        Ok(mut value) => {
-            value["status"] = 200.into();
-            value
-        }
-        Err(fault) => fault.body(),
-    };
-    json!({"took": took.micros() / 1000, "responses": answers.into_iter().map(each).collect::<Vec<_>>()})
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -164,13 +152,4 @@
         let edit = written_off(true).kind.status();
         assert!(edit != 429 && edit != 503, "{edit}");
     }
-
-    #[test]
-    fn one_bad_line_spoils_no_other() {
-        let bad = Fault::parsing("unknown query [x]");
-        let all = many(vec![Ok(json!({"took": 1})), Err(bad), Ok(json!({"took": 2}))], Span::ZERO);
-        let statuses: Vec<_> =
-            all["responses"].as_array().unwrap().iter().map(|one| &one["status"]).collect();
-        assert_eq!(statuses, [200, 400, 200]);
-    }
 }
