Fresh searchers take a share of each mixer's scans, not turns; last parts are late sooner

Checked with a probe in the module that wrote why scans were bounced and where every part landed: of the cells that kept scans of 34 parts out at the door, 3,824 of 5,000 had two fresh replicas with no turn and a third thought slow. The fresh ones got 13 to 17 parts a second each at p50 40 ms and p95 100 ms, far under what they could do; the warm third of their cell 35 to 72 at p50 300 to 500 ms. The cause: ColdCare::has_room gave each of 300 mixers one part each 5 to 13 s (work x fleet / pace), and a turn is lost while no part of the cell comes by; and each cell drew its own turn, so that a scan of 34 parts found all of them open hardly ever.

Now ColdCare::share and Roster::closed keep off only so many scans that what falls to the searcher by its latency stays within the pace, counted from what this mixer sent to the cell (one line a cell), by one draw a scan.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -10,7 +10,7 @@
 //! 1. failures, silence and parts in vain read as latency (`Roster::note_landed`, `Roster::standing`)
 //! 2. a part that failed or is late goes to another replica, in a budget, unless its scan brings searchers
 //!    down; while they die, one part goes ahead (`Mixer::relay_again`, `Mixer::hurry`, `Mixer::send_out`)
-//! 3. a fresh searcher's cap, which grows with its answers (`ColdCare`)
+//! 3. a fresh searcher's cap, which grows with its answers (`ColdCare`, `Roster::closed`)
 //! 4. a limit on what is in flight at each searcher; what finds no room is turned away, least credit first:
 //!    scans, and the light parts of scans that may do without (`Roster::room`, `Door`, `Mixer::send_out`)
 //! 5. connections that lay idle too long are shut before they are used again (`Roster::note_sent`)
@@ -90,17 +90,46 @@
 }
 
 impl ColdCare {
-    /// Guards against toppling a searcher that just started, or came back from any failure to connect. Hurts
-    /// when it was only out of reach. Its cap in flight grows from one with each answer; its parts come at
-    /// this mixer's share of the rule's pace, the first after a wait by chance. Two cores are taken for its
-    /// size, never told, and up to twice the pace where mixers are few: eight hunts came to 49% of the rule.
-    fn has_room(&self, seat: &Seat, work: f64, now: Moment) -> bool {
+    /// Guards against toppling a searcher that just started, or came back from any failure to connect: the
+    /// share of what would fall to it, so many parts a microsecond, that keeps it within this mixer's part of
+    /// the rule's pace. Hurts when it was only out of reach. Its cap in flight grows from one with each
+    /// answer. Two cores are taken for its size, never told, and up to twice the pace where mixers are few:
+    /// eight hunts came to 49% of the rule.
+    fn share(&self, seat: &Seat, work: f64, falls: f64, now: Moment) -> f64 {
         let fresh = seat.fresh.filter(|(since, _)| now.since(*since) <= self.cold + self.fall);
-        let Some((since, answers)) = fresh else { return true };
+        let Some((since, answers)) = fresh else { return 1.0 };
         let age = now.since(since).less(self.fall).as_f64() / self.cold.as_f64().max(1.0);
         let grown = self.from + (1.0 - self.from) * age.min(1.0);
         let pace = (2.0 + 8.0 / self.fleet).min(4.0) * self.multiple * grown;
-        seat.out.len() <= answers && seat.has_turn(now, work * self.fleet / pace)
+        f64::from(seat.out.len() <= answers) * pace / (work * self.fleet * falls)
+    }
+}
+
+/// How many parts went to a cell, over ten seconds, which smooth a few a second, and over two, which see a
+/// burst before rule 4 counts it; each fades. One line a cell.
+#[derive(Default)]
+struct Flow {
+    long: f64,
+    short: f64,
+    at: Moment,
+}
+
+impl Flow {
+    fn at(&self, now: Moment) -> Flow {
+        let fades = |count: f64, over: f64| count * (-now.since(self.at).as_f64() / over).exp();
+        Flow { long: fades(self.long, 1e7), short: fades(self.short, 2e6), at: now }
+    }
+
+    fn note(&mut self, now: Moment) {
+        let faded = self.at(now);
+        *self = Flow { long: faded.long + 1.0, short: faded.short + 1.0, ..faded };
+    }
+
+    /// Parts a microsecond, where all has been counted for so long. Before anything is known one part in
+    /// three seconds is: less would let a mixer that starts from nothing send a fresh searcher all at once.
+    fn rate(&self, now: Moment, counted: Span) -> f64 {
+        let (faded, counted) = (self.at(now), counted.as_f64());
+        ((faded.long + 1.0) / (1e7 * (1.0 - (-counted / 1e7).exp()) + 3e6)).max(faded.short / 2e6)
     }
 }
 
@@ -121,8 +150,6 @@
     passed: Moment,
     stood: Moment,
     sent: Moment,
-    /// Where parts are sent by turns: the share of a turn to wait from the last.
-    turn: f64,
     /// When a part was last lost with its connection, until one sent since is answered.
     lost: Option<Moment>,
     /// Down: when it is to be checked next.
@@ -142,7 +169,7 @@
     }
 
     fn has_turn(&self, now: Moment, every: f64) -> bool {
-        now.since(self.sent).as_f64() >= self.turn * every
+        now.since(self.sent).as_f64() >= every
     }
 
     /// Deaths that come once in a while are one cause: ten seconds outlast the time between them.
@@ -151,6 +178,8 @@
     }
 }
 
+const NO_FLOW: Flow = Flow { long: 0.0, short: 0.0, at: Moment::at_micros(0) };
+
 /// A relay under way; `pause` is how long nothing had come over its connection, by class.
 struct Leg {
     to: Searcher,
@@ -170,6 +199,9 @@
     /// The sum of the latencies known, and their number.
     known: (f64, f64),
     cells: u32,
+    /// What went to each cell, and since when that is counted.
+    flows: BTreeMap<u32, Flow>,
+    begun: Option<Moment>,
     width: u32,
     per_call: usize,
     may_check: bool,
@@ -222,22 +254,23 @@
         self.seats.values().map(|seat| &seat.told).filter(holds).map(|told| told.searcher)
     }
 
-    /// It has started anew: what was known of it holds no more. Its first turn comes by chance.
+    /// It has started anew: what was known of it holds no more.
     fn renew(&mut self, now: Moment, searcher: Searcher, since: Moment) {
-        let turn = self.chance.below(1 << 20) as f64 / f64::from(1 << 20);
         self.set_latency(searcher, None);
         let Some(seat) = self.seats.get_mut(&searcher) else { return };
         if seat.fresh.replace((since, 0)).is_none() {
-            (seat.sent, seat.turn) = (now, turn);
+            seat.sent = now;
         }
     }
 
     /// The latency to choose by: the smoothed one, or the age of the oldest part out that no later one went
-    /// past, so that a hang is seen early. What is long unheard drifts to the average, to be tried again.
+    /// past, so that a hang is seen early. What is long unheard drifts to the average, to be tried again; who
+    /// is fresh and unheard counts as the quickest, as its pace already keeps it from harm.
     fn standing(&self, now: Moment, seat: &Seat) -> f64 {
         let oldest = seat.out.iter().find(|at| **at > seat.passed);
         let (average, waits) = (self.average(), oldest.map_or(Span::ZERO, |at| now.since(*at)));
-        let known = seat.latency.unwrap_or(average);
+        let unheard = if seat.fresh.is_some() { self.shortest } else { average };
+        let known = seat.latency.unwrap_or(unheard);
         (average + (known - average) * self.fading(now, seat)).max(waits.as_f64())
     }
 
@@ -283,7 +316,15 @@
     /// The design's choice: least latency x (own parts out + 1), among replicas listed ready, not down, and
     /// not in `tried`; a down one gets a part as its check where there are no probes. Failures read as a late
     /// part, by their share in the sort, so that who fails fast draws no parts. Hurts bad luck.
-    fn place(&mut self, now: Moment, shard: u32, sort: Sort, tried: &[Searcher]) -> Option<Searcher> {
+    fn place(
+        &mut self,
+        now: Moment,
+        shard: u32,
+        sort: Sort,
+        luck: f64,
+        tried: &[Searcher],
+    ) -> Option<Searcher> {
+        let closed = self.closed(now, shard, luck);
         let mut holders: Vec<Searcher> = self.holders(shard).filter(|s| !tried.contains(s)).collect();
         let first = self.chance.below(holders.len().max(1));
         holders.rotate_left(first);
@@ -296,19 +337,36 @@
             let latency = (standing + failing * (self.late(sort.1) - standing).max(0.0)) * tie;
             match seat.down {
                 Some(due) => (!self.may_check && now >= due).then_some((0.0, searcher)),
-                None if !self.cold.has_room(seat, self.shortest, now) => None,
+                None if closed.contains(&searcher) => None,
                 None => Some((latency * (seat.calls_out(self.per_call) + 1) as f64, searcher)),
             }
         };
         holders.into_iter().filter_map(score).min_by(|a, b| a.0.total_cmp(&b.0)).map(|best| best.1)
     }
 
+    /// The fresh replicas of a shard that take no part of a scan of this luck: so many are kept off that
+    /// what falls to the others by their latency stays within the pace. Luck is drawn once a scan: if each
+    /// cell drew anew, hardly a scan of many parts would find all of them open. A turn for each mixer, in
+    /// place of a share, was lost where no part came by in time: of 300 mixers, seven turns in ten.
+    fn closed(&self, now: Moment, shard: u32, luck: f64) -> Vec<Searcher> {
+        let up = |to: &Searcher| self.seats[to].down.is_none();
+        let draws = |to: Searcher| 1.0 / self.standing(now, &self.seats[&to]).max(1.0);
+        let drawn: f64 = self.holders(shard).filter(up).map(draws).sum();
+        let flow = self.flows.get(&(shard % self.cells)).unwrap_or(&NO_FLOW);
+        let rate = flow.rate(now, now.since(self.begun.unwrap_or(now))) * f64::from(self.width.max(1));
+        let keeps_off = |to: &Searcher| {
+            up(to) && luck >= self.cold.share(&self.seats[to], self.shortest, rate * draws(*to) / drawn, now)
+        };
+        self.holders(shard).filter(keeps_off).collect()
+    }
+
     /// Whether the replicas of a shard have room under their limits for so many parts; where none is up, that
     /// is not for the door to say. Little worth may fill less, at slow replicas the least: seven and three
     /// tenths lost nowhere. Who is too slow for the time left has none (hurried clients, jammed shards); the
     /// slowest of a few takes half as long again. Where mixers are many, little worth counts on less time. As
     /// latencies lag a recovery, one part at a time is let in by turns, six times rarer where half are lost.
-    fn room(&self, now: Moment, left: Span, shard: u32, worth: f64, parts: usize) -> bool {
+    fn room(&self, now: Moment, left: Span, shard: u32, worth: f64, luck: f64, parts: usize) -> bool {
+        let closed = self.closed(now, shard, luck);
         let left = left.as_f64() * (0.5 + 0.5 * worth).max(4.0 / self.cold.fleet).min(1.0);
         let rarer = 1.0 + 20.0 * self.lost * self.lost;
         let by = now.less(Span::of_micros((8.0 * self.typical) as u64));
@@ -318,7 +376,7 @@
             let room = s.limit * (least + (1.0 - least) * worth).min(1.0) - s.at_work(by) as f64;
             let turn =
                 s.out.iter().all(|at| *at <= by) && s.has_turn(now, self.cold.fleet * self.shortest * rarer);
-            let open = (turn || standing * 1.5 < left) && self.cold.has_room(s, self.shortest, now);
+            let open = (turn || standing * 1.5 < left) && !closed.contains(&s.told.searcher);
             f64::from(open) * room.max(0.0).ceil()
         };
         let up = self.holders(shard).map(|s| &self.seats[&s]).filter(|s| s.down.is_none());
@@ -333,7 +391,7 @@
         let quarters = now.since(seat.stood).micros() / 250_000;
         let pause = (u64::BITS - quarters.leading_zeros()).min(7) as usize;
         seat.out.push(now);
-        (seat.sent, seat.turn, seat.down) = (now, 1.0, seat.down.map(|_| now + CHECK_EVERY));
+        (seat.sent, seat.down) = (now, seat.down.map(|_| now + CHECK_EVERY));
         let doubted = self.vain[1..=pause].iter().any(|share| *share > self.vain[0] + 0.25);
         let stale = doubted && now.since(self.trial) < CHECK_EVERY;
         self.trial = if doubted && !stale { now } else { self.trial };
@@ -434,6 +492,8 @@
 struct Scan {
     traffic_type: usize,
     worth: f64,
+    /// Drawn once: which fresh searchers it falls to, from nothing to one.
+    luck: f64,
     ends: Moment,
     parts: Vec<Part>,
     /// The searchers that a part was lost at with its connection.
@@ -487,6 +547,7 @@
     /// News of searchers; with `whole` who is not in it is gone.
     pub fn listed(&mut self, host: &mut dyn Host, whole: bool, listings: &[Listing]) {
         let now = host.now();
+        self.roster.begun.get_or_insert(now);
         let all = self.roster.seats.values().filter(|_| whole).map(|s| Listing { ready: false, ..s.told });
         let gone: Vec<Listing> = all.filter(|g| listings.iter().all(|l| l.searcher != g.searcher)).collect();
         for told in gone.into_iter().chain(listings.iter().copied()) {
@@ -514,9 +575,10 @@
         let credit = kind.credit * over * if late { kind.late_credit } else { 1.0 };
         let worth = self.door.worth(credit, scan.parts.len());
         let patience = quoted.min(scan.left).less(self.lead);
+        let luck = self.roster.chance.below(1 << 20) as f64 / f64::from(1 << 20);
         let (mut beside, home) = (BTreeMap::new(), |p: &PartTaken| p.shard % self.roster.cells);
         scan.parts.iter().for_each(|p| *beside.entry(home(p)).or_insert(0) += 1);
-        let fits = |p: &&PartTaken| self.roster.room(now, patience, p.shard, worth, beside[&home(p)]);
+        let fits = |p: &&PartTaken| self.roster.room(now, patience, p.shard, worth, luck, beside[&home(p)]);
         let room: f64 = scan.parts.iter().filter(fits).map(|p| p.weight).sum();
         if patience == Span::ZERO || (late && kind.late_credit <= 0.0) || room + SLACK < kind.floor {
             return host.bounce(id, self.door.pause);
@@ -524,16 +586,17 @@
         // Of two steps, the first may take half of the time.
         let wait = patience * if kind.second_step { 0.5 } else { 1.0 };
         let late = Span::of_micros(self.roster.late(kind.quoted) as u64);
+        let look = late.min(kind.quoted * 0.4);
         let held = self.roster.seats.values().any(|seat| seat.seems_dead(now));
         let parts = scan.parts.iter().map(|taken| Part { taken: *taken, ..Part::default() }).collect();
         let (traffic_type, ends) = (scan.traffic_type, now + patience);
-        self.scans.insert(id, Scan { traffic_type, worth, ends, parts, held, ..Scan::default() });
+        self.scans.insert(id, Scan { traffic_type, worth, luck, ends, parts, held, ..Scan::default() });
         self.later(host, wait, move |mixer, host| {
             if mixer.scans.get(&id).is_some_and(|scan| scan.first_whole.is_none()) {
                 mixer.close(host, id);
             }
         });
-        self.later(host, late, move |mixer, host| mixer.hurry(host, id, late));
+        self.later(host, look, move |mixer, host| mixer.hurry(host, id, look, late));
         self.send_out(host, id);
     }
 
@@ -591,7 +654,7 @@
         let sort = (scan.traffic_type, self.types[scan.traffic_type].quoted);
         // Three quarters of the way to the floor: a quarter is for parts lost on the way.
         let mut spare = (1.0 - self.types[scan.traffic_type].floor) * 0.75;
-        let (worth, left) = (scan.worth * order.len() as f64, scan.ends.since(now));
+        let (worth, luck, left) = (scan.worth * order.len() as f64, scan.luck, scan.ends.since(now));
         if scan.held {
             order.truncate(1);
             let wait = Span::of_micros((2.0 * self.roster.typical) as u64);
@@ -600,9 +663,9 @@
         for at in order {
             let Some(part) = self.scans.get_mut(&id).map(|scan| &mut scan.parts[at]) else { return };
             let skip = part.taken.weight <= spare
-                && !self.roster.room(now, left, part.taken.shard, worth * part.taken.weight, 1);
+                && !self.roster.room(now, left, part.taken.shard, worth * part.taken.weight, luck, 1);
             spare -= if skip { part.taken.weight } else { 0.0 };
-            match self.roster.place(now, part.taken.shard, sort, &part.tried).filter(|_| !skip) {
+            match self.roster.place(now, part.taken.shard, sort, luck, &part.tried).filter(|_| !skip) {
                 Some(to) => self.relay(host, id, at, to),
                 None => part.lost = true,
             }
@@ -622,6 +685,7 @@
         let (part, sort) = (&mut scan.parts[at], (scan.traffic_type, self.types[scan.traffic_type].quoted));
         let ran_before = part.may_have_run;
         let (leg, stale) = self.roster.note_sent(now, to, sort);
+        self.roster.flows.entry(part.taken.shard % self.roster.cells).or_default().note(now);
         if stale {
             host.hang_up(to);
         }
@@ -670,28 +734,34 @@
             (Effect::Irreversible, Some(_)) => false,
         };
         let allowed = left > Span::ZERO && self.deaths(now, scan) < 2 && part.tried.len() < self.budget.cap;
-        let room = harmless && allowed && self.roster.room(now, left, part.taken.shard, 0.0, 1);
+        let room = harmless && allowed && self.roster.room(now, left, part.taken.shard, 0.0, scan.luck, 1);
         let sort = (scan.traffic_type, kind.quoted);
-        let place = if room { self.roster.place(now, part.taken.shard, sort, &part.tried) } else { None };
+        let place =
+            if room { self.roster.place(now, part.taken.shard, sort, scan.luck, &part.tried) } else { None };
         place.filter(|_| self.budget.has_room(now))
     }
 
     /// A late part is given up for another replica, and its connection trusted no more: against parts and
-    /// connections that fall silent alone. Only while as long again is left: a part that was late once may be
-    /// late there too, and where all are slow alike (eight times the usual is then most of the quoted time) a
-    /// second copy of the work comes too late to help and makes them slower. Hurts where work done is lost by
-    /// it: a searcher does not always stop at what is called off.
-    fn hurry(&mut self, host: &mut dyn Host, id: ScanId, wait: Span) {
+    /// connections that fall silent alone, and searchers that hang, which each of many mixers has to find for
+    /// itself. Where all but a sixteenth of the scan is in, two fifths of the quoted time are late: the rest
+    /// tell what is usual now, and so few add little work (up to a quarter out cost gandhinagar-fare-later
+    /// 0.14). Only while as long again is left: a part that was late once may be late there too, and where
+    /// all are slow alike a second copy comes too late to help and makes them slower. Hurts where work done
+    /// is lost by it: a searcher does not always stop at what is called off.
+    fn hurry(&mut self, host: &mut dyn Host, id: ScanId, wait: Span, late: Span) {
         let Some(scan) = self.scans.get(&id).filter(|s| s.ends.since(host.now()) >= wait) else { return };
+        let step = &scan.parts[scan.first..];
+        let most = 16 * step.iter().filter(|p| !p.honoured).count() <= step.len();
+        let due = if most { wait } else { late };
         let out = |(at, part): (usize, &Part)| Some((at, part.out?, *part.tried.last()?));
         let out: Vec<_> = scan.parts.iter().enumerate().filter_map(out).collect();
         for (at, (relay, left), to) in out {
-            if host.now().since(left) >= wait && self.another(host.now(), id, at).is_some() {
+            if host.now().since(left) >= due && self.another(host.now(), id, at).is_some() {
                 host.hang_up(to);
                 host.call_off(relay);
             }
         }
-        self.later(host, wait, move |mixer, host| mixer.hurry(host, id, wait));
+        self.later(host, wait, move |mixer, host| mixer.hurry(host, id, wait, late));
     }
 
     /// Ends the scan where all parts have an outcome, enough are in, or what may be answered is out of reach.
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -85,6 +85,9 @@
     }
 }
 
+/// When every story begins.
+const BEGAN: Moment = Moment::at_micros(100_000_000);
+
 pub struct Story {
     pub mixer: Mixer,
     pub host: Fake,
@@ -114,22 +117,50 @@
 }
 
 pub fn mixer(types: Vec<TrafficType>, fleet: f64, budget: RelayBudget, may_check: bool) -> Mixer {
+    mixer_of(types, fleet, budget, may_check, 1, 7)
+}
+
+/// One of many, by its seed, before so many cells.
+pub fn mixer_of(
+    types: Vec<TrafficType>,
+    fleet: f64,
+    budget: RelayBudget,
+    may_check: bool,
+    cells: u32,
+    seed: u64,
+) -> Mixer {
     let (cold, fall) = (Span::of_millis(18_000), Span::of_millis(2_000));
     let cold = ColdCare { fleet, from: 0.2, cold, multiple: 2.0, fall };
-    let roster = Roster::new(7, 1, 1, 1, may_check, cold);
+    let roster = Roster::new(seed, cells, 1, 1, may_check, cold);
     let door = Door::new(fleet as usize, &[1000.0], 0.1, true, Span::of_millis(500));
     Mixer::new(types, roster, budget, door, Span::of_millis(5))
 }
 
 pub fn story_of(types: Vec<TrafficType>, budget: RelayBudget, may_check: bool) -> Story {
-    let mixer = mixer(types, 2.0, budget, may_check);
-    let host = Fake { now: Moment::at_micros(100_000_000), ..Fake::default() };
-    let mut story = Story { mixer, host, scans: 0 };
+    let mut story = bare(mixer(types, 2.0, budget, may_check));
     story.list(true, &[(0, true), (1, true), (2, true)], None);
     story
 }
 
+/// A mixer that knows of nobody yet.
+pub fn bare(mixer: Mixer) -> Story {
+    Story { mixer, host: Fake { now: BEGAN, ..Fake::default() }, scans: 0 }
+}
+
 impl Story {
+    /// Replicas of every cell, numbered through: `fresh` of each started now.
+    pub fn list_cells(&mut self, cells: u32, replicas: u32, fresh: u32) {
+        let line = |id: u32| Listing {
+            searcher: Searcher(id),
+            cell: id / replicas,
+            ready: true,
+            started: Some(self.host.now).filter(|_| id % replicas < fresh),
+            ..Listing::default()
+        };
+        let lines: Vec<Listing> = (0..cells * replicas).map(line).collect();
+        self.mixer.listed(&mut self.host, true, &lines);
+    }
+
     pub fn list(&mut self, whole: bool, searchers: &[(u32, bool)], started: Option<Moment>) {
         let line = |&(id, ready): &(u32, bool)| Listing {
             searcher: Searcher(id),
@@ -182,6 +213,12 @@
         }
     }
 
+    /// The same until so many milliseconds after its beginning, if that is to come.
+    pub fn pass_until(&mut self, millis: u64) {
+        let until = BEGAN + Span::of_millis(millis);
+        self.pass(until.since(self.host.now).micros() / 1000);
+    }
+
     /// Lets time go by, and the timers ring.
     pub fn pass(&mut self, millis: u64) {
         let until = self.host.now + Span::of_millis(millis);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1,6 +1,7 @@
 //! What the mixer does when things go wrong, one story for each failure met.
 
 mod host;
+mod many;
 
 use fernglade::choice::RelayBudget;
 use fernglade::{Effect, Landing, Listing, PartTaken, ScanId, Searcher, Span, TrafficType};
