--- a/crates/mixer/tests/fleet.rs
+++ b/crates/mixer/tests/fleet.rs
@@ -1,7 +1,11 @@
 //! Several processes of the built mixer before one set of searchers, with faults on the links between them. Judged by
 //! the rules, which must hold on every day, and by wide ratios of what was served; times only bound a day.
 
+use fernglade_standins::child::{file, free_address, orders, start};
+use fernglade_standins::client::{answer, say, scan};
+use fernglade_standins::discovery::{agent, list};
 use fernglade_standins::fleet::{play, Breach, Day, Figures};
+use fernglade_standins::searcher::{good, searcher};
 use std::path::Path;
 use test_case::test_case;
 
@@ -67,3 +71,31 @@
     // Each of four asks a dead one every five seconds, and dials one that is back when it has a part for it.
     assert!(figures.most_checks <= 8, "{figures}");
 }
+
+/// What the whole fleet's test asks of the program, as far as it can be held here (docs/architecture.md).
+#[test]
+fn the_program_stays_one_process_linked_dynamically() {
+    let program = Path::new(env!("CARGO_BIN_EXE_fernglade-mixer"));
+    let head = std::fs::read(program).unwrap();
+    let half = |at: usize| usize::from(u16::from_le_bytes([head[at], head[at + 1]]));
+    // ELF of 64 bits: the table of segments lies where eight bytes at 32 say; a segment of type 3 names the loader.
+    let table = u64::from_le_bytes(head[32..40].try_into().unwrap()) as usize;
+    let types = (0..half(56)).map(|number| head[table + number * half(54)]);
+    assert!(head.starts_with(b"\x7fELF") && types.collect::<Vec<u8>>().contains(&3), "no loader is named");
+    let at = free_address();
+    let there = list(&[searcher(good).0]);
+    let text = orders(&at.to_string(), agent(there.clone()), &there);
+    let mixer = start(program, 256, file("alone.json", &text), None, at);
+    let mut client = mixer.client();
+    for number in 0..20 {
+        say(&mut client, scan(&format!("a{number}"), &[0, 1]));
+        assert_eq!(answer(&mut client).0, 200);
+    }
+    let process = format!("/proc/{}", mixer.child.id());
+    let threads: Vec<_> = std::fs::read_dir(format!("{process}/task")).unwrap().flatten().collect();
+    assert!(threads.len() <= 2, "{} threads", threads.len());
+    for thread in threads {
+        let children = std::fs::read_to_string(thread.path().join("children")).unwrap_or_default();
+        assert_eq!(children, "", "it starts nothing");
+    }
+}
