--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 # What the staff and CI run; each command is stated here once.
 
 ORDERS ?= deploy/example.json
+DAY ?= crates/standins/days/overload.json5
+SEED ?= 1
 
-.PHONY: build test lint run nodes run-dialect
+.PHONY: build test lint run nodes run-dialect fleet fleet-days
 
 build:
 	cargo build --release --locked --workspace
@@ -25,3 +27,12 @@
 # One mixer, from the orders in $(ORDERS): make run ORDERS=/path/to/orders.json
 run: build
 	ROUTER_CONFIG=$(ORDERS) target/release/fernglade-mixer
+
+# Several mixers under faults: make fleet DAY=crates/standins/days/hung.json5 SEED=3 (docs/fleet.md)
+fleet: build
+	target/release/fernglade-fleet run $(DAY) --seed $(SEED)
+
+# Every shipped day, and what is served from half to five times what can be done. A few minutes; not in CI.
+fleet-days: build
+	for day in crates/standins/days/*.json5; do echo "$$day"; target/release/fernglade-fleet run "$$day" --seed $(SEED) --brief || exit 1; done
+	target/release/fernglade-fleet run crates/standins/days/curve.json5 --seed $(SEED) --brief --loads 0.5,0.8,1,1.5,2,3,5
