Holders of a shard are kept by cell: a scan found them by reading every seat, many times over

The lines at fault: Roster::holders reads all of up to 200 seats for each part, and Roster::closed asked it three times more, for every part at the door, at the skip and at the choice. Now who is ready is kept by cell, settled with each list, and where nobody is fresh nothing is weighed.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -201,6 +201,7 @@
     cells: u32,
     /// What went to each cell, and since when that is counted.
     flows: BTreeMap<u32, Flow>,
+    homes: BTreeMap<u32, Vec<Searcher>>,
     begun: Option<Moment>,
     width: u32,
     per_call: usize,
@@ -248,10 +249,16 @@
     }
 
     fn holders(&self, shard: u32) -> impl Iterator<Item = Searcher> + '_ {
-        let offset = move |cell: u32| (cell + self.cells - shard % self.cells) % self.cells;
-        let holds =
-            move |told: &&Listing| told.ready && told.cell < self.cells && offset(told.cell) < self.width;
-        self.seats.values().map(|seat| &seat.told).filter(holds).map(|told| told.searcher)
+        let cells = (0..self.width.min(self.cells)).map(move |next| (shard % self.cells + next) % self.cells);
+        cells.filter_map(|cell| self.homes.get(&cell)).flatten().copied()
+    }
+
+    /// Who is ready, by cell: a scan asks for the holders of each part several times over.
+    fn settle_homes(&mut self) {
+        self.homes.clear();
+        for told in self.seats.values().map(|seat| seat.told).filter(|told| told.ready) {
+            self.homes.entry(told.cell).or_default().push(told.searcher);
+        }
     }
 
     /// It has started anew: what was known of it holds no more.
@@ -350,6 +357,9 @@
     /// place of a share, was lost where no part came by in time: of 300 mixers, seven turns in ten.
     fn closed(&self, now: Moment, shard: u32, luck: f64) -> Vec<Searcher> {
         let up = |to: &Searcher| self.seats[to].down.is_none();
+        if self.holders(shard).all(|to| self.seats[&to].fresh.is_none()) {
+            return Vec::new();
+        }
         let draws = |to: Searcher| 1.0 / self.standing(now, &self.seats[&to]).max(1.0);
         let drawn: f64 = self.holders(shard).filter(up).map(draws).sum();
         let flow = self.flows.get(&(shard % self.cells)).unwrap_or(&NO_FLOW);
@@ -556,6 +566,7 @@
             news.iter().for_each(|since| self.roster.renew(now, told.searcher, *since));
         }
         self.roster.seats.retain(|_, seat| seat.told.ready || !seat.out.is_empty());
+        self.roster.settle_homes();
     }
 
     pub fn taken(&mut self, host: &mut dyn Host, id: ScanId, scan: ScanTaken) {
