--- a/crates/standins/src/bin/naive-mixer.rs
+++ b/crates/standins/src/bin/naive-mixer.rs
@@ -10,7 +10,6 @@
 use serde_json::{json, Value};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -71,11 +70,11 @@
 
 impl Mixer {
     fn watch(&self, discovery: SocketAddr) {
-        static KNOWN: AtomicBool = AtomicBool::new(false);
         loop {
             if let Ok(list) = whole_list(discovery) {
-                if self.fault != Fault::Deaf || !KNOWN.swap(true, Ordering::Relaxed) {
-                    *self.list.lock().expect("no panic holds it") = list;
+                let mut known = self.list.lock().expect("no panic holds it");
+                if self.fault != Fault::Deaf || known.is_empty() {
+                    *known = list;
                 }
             }
             thread::sleep(Duration::from_millis(50));
--- a/crates/standins/src/fleet/attend.rs
+++ b/crates/standins/src/fleet/attend.rs
@@ -120,7 +120,6 @@
 async fn attend(world: Rc<World>, mixer: usize, searcher: usize, stream: Async<TcpStream>) {
     let (way, life) = (world.way(mixer, searcher), world.post(searcher).life);
     let (resets, stream, back) = (way.resets(), Rc::new(stream), Rc::new(Back::default()));
-    way.open.set(way.open.get() + 1);
     let over = {
         let world = world.clone();
         let (way, back) = (way.clone(), back.clone());
@@ -147,7 +146,6 @@
     )
     .await;
     back.over.set(true);
-    way.open.set(way.open.get() - 1);
     if !orderly {
         // A reset, and no goodbye.
         let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
--- a/crates/standins/src/fleet/day.rs
+++ b/crates/standins/src/fleet/day.rs
@@ -382,18 +382,17 @@
 
 /// A length of time as it is said: "250ms", "2s".
 fn time<'de, D: Deserializer<'de>>(from: D) -> Result<Duration, D::Error> {
-    let text = String::deserialize(from)?;
-    let wrong = |_| serde::de::Error::custom(format!("{text:?} is no time such as \"250ms\" or \"2s\""));
-    humantime::parse_duration(&text).map_err(wrong)
+    said(&String::deserialize(from)?)
 }
 
 fn times<'de, D: Deserializer<'de>>(from: D) -> Result<(Duration, Duration), D::Error> {
     let (least, most) = <(String, String)>::deserialize(from)?;
-    let one = |text: String| {
-        let wrong = |_| serde::de::Error::custom(format!("{text:?} is no time such as \"250ms\" or \"2s\""));
-        humantime::parse_duration(&text).map_err(wrong)
-    };
-    Ok((one(least)?, one(most)?))
+    Ok((said(&least)?, said(&most)?))
+}
+
+fn said<E: serde::de::Error>(text: &str) -> Result<Duration, E> {
+    humantime::parse_duration(text)
+        .map_err(|_| E::custom(format!("{text:?} is no time such as \"250ms\" or \"2s\"")))
 }
 
 fn one() -> f64 {
--- a/crates/standins/src/fleet/way.rs
+++ b/crates/standins/src/fleet/way.rs
@@ -21,8 +21,6 @@
     loses: Cell<f64>,
     /// Counts the resets: a connection of an earlier count is over.
     resets: Cell<u32>,
-    /// How many connections are open.
-    pub open: Cell<usize>,
     /// Since when nobody listened, the last time that nobody did, and until when.
     unheard: Cell<(Moment, Moment)>,
     changed: Event,
