--- a/crates/fronts/src/readings.rs
+++ b/crates/fronts/src/readings.rs
@@ -142,7 +142,10 @@
             self.says("worth_by", "work"),
             if self.yes("limits.retry_after") { self.span("limits.max_retry_after")? } else { Span::ZERO },
         );
-        Ok(Mixer::new(self.traffic_types()?, roster, budget, door, self.span("tick")?))
+        let mut mixer = Mixer::new(self.traffic_types()?, roster, budget, door, self.span("tick")?);
+        let grace = self.span("invariants.drain_grace")?;
+        mixer.pushed = self.says("discovery", "pushed").then_some(grace);
+        Ok(mixer)
     }
 }
 
--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -61,7 +61,7 @@
     /// One for each address that is listened on.
     doors: Vec<Door>,
     count: Cell<u64>,
-    porch: RefCell<BTreeMap<ClientId, TcpStream>>,
+    porch: RefCell<BTreeMap<ClientId, (TcpStream, Instant)>>,
     inside: RefCell<BTreeMap<ClientId, Rc<Talk>>>,
     teller: Teller,
     /// When those refused last were to come back; for those refused where no descriptor is left.
@@ -96,16 +96,21 @@
 
     /// Lets in one that waits on the porch.
     pub fn let_in(self: &Rc<Self>, handle: &Handle, client: ClientId) {
-        let stream = self.porch.borrow_mut().remove(&client);
-        match stream.map(Async::new) {
-            Some(Ok(stream)) => handle.spawn(serve(self.clone(), handle.clone(), client, stream)),
+        let waited = self.porch.borrow_mut().remove(&client);
+        match waited.map(|(stream, since)| (Async::new(stream), since)) {
+            Some((Ok(stream), since)) => {
+                // Inside from now on: it may be sent off before its task has run once.
+                let talk = Rc::new(Talk::new());
+                self.inside.borrow_mut().insert(client, talk.clone());
+                handle.spawn(serve(self.clone(), handle.clone(), client, stream, talk, since.elapsed()));
+            }
             _ => handle.feed(Event::ClientGone(client)),
         }
     }
 
     pub fn turn_away(&self, client: ClientId, pause: Span) {
         self.come_back.set(pause);
-        if let Some(stream) = self.porch.borrow_mut().remove(&client) {
+        if let Some((stream, _)) = self.porch.borrow_mut().remove(&client) {
             self.teller.tell(stream, &bounce(pause, true));
         }
     }
@@ -116,7 +121,7 @@
 
     pub fn reply(&self, handle: &Handle, client: ClientId, reply: &Reply, last: bool) {
         self.with(client, |talk| {
-            let last = last || talk.is_last.get();
+            let last = last || talk.is_last.get() || talk.line.is_flooded();
             let bytes = match reply {
                 Reply::Answer { whole, values } => scans::answer(*whole, values, last),
                 Reply::Bounce(pause) => bounce(*pause, last),
@@ -150,7 +155,7 @@
     let knock = |accepted: Accepted| {
         clients.count.set(clients.count.get() + 1);
         let client = ClientId(clients.count.get());
-        clients.porch.borrow_mut().insert(client, accepted.stream);
+        clients.porch.borrow_mut().insert(client, (accepted.stream, Instant::now()));
         handle.feed(Event::Knocked(client, accepted.from));
     };
     while !door.shut.get() {
@@ -244,6 +249,13 @@
     }
 }
 
+/// Returns once all refusals are fetched, or have had their time: the program's end would cut them off.
+pub async fn all_told(clients: &Clients) {
+    while !clients.teller.told.borrow().is_empty() {
+        Timer::after(TELLING_TURN).await;
+    }
+}
+
 /// Lets go of those who have fetched their refusal, and of who takes too long.
 pub async fn tell_all(clients: Rc<Clients>) {
     let teller = &clients.teller;
@@ -266,6 +278,10 @@
 }
 
 impl Talk {
+    fn new() -> Self {
+        Self { line: Line::new(MOST_WAITING), answering: Cell::new(false), is_last: Cell::new(false) }
+    }
+
     fn answer(&self, bytes: Vec<u8>, last: bool) {
         let room = self.line.outbox.push(0, bytes);
         if last || !room {
@@ -285,25 +301,33 @@
             self.line.close();
         }
         Timer::after(REST).await;
+        if self.line.is_flooded() {
+            self.line.close();
+        }
         self.hear_on();
     }
 }
 
-async fn serve(clients: Rc<Clients>, handle: Handle, client: ClientId, stream: Stream) {
+async fn serve(
+    clients: Rc<Clients>,
+    handle: Handle,
+    client: ClientId,
+    stream: Stream,
+    talk: Rc<Talk>,
+    waited: Duration,
+) {
     let _ = stream.get_ref().set_nodelay(true);
-    let (line, answering, is_last) = (Line::new(MOST_WAITING), Cell::new(false), Cell::new(false));
-    let talk = Rc::new(Talk { line, answering, is_last });
-    clients.inside.borrow_mut().insert(client, talk.clone());
     let mut listening = Listening {
         clients: clients.clone(),
         reader: Reader::default(),
+        stood: Some(waited).filter(|_| has_more(&stream)),
         stirred: false,
         lost: false,
         stream: &stream,
     };
     let read = |inbox: &mut Inbox| listening.read(&handle, client, &talk, inbox);
     let stop = pump(&stream, &talk.line, Inbox::new(MOST_UNREAD), read, |_| ()).await;
-    if matches!(stop, Stop::Closed) && listening.lost {
+    if matches!(stop, Stop::Closed) && (listening.lost || talk.line.is_flooded()) {
         linger(&stream, LINGER.0, LINGER.1).await;
     }
     clients.inside.borrow_mut().remove(&client);
@@ -316,6 +340,8 @@
     clients: Rc<Clients>,
     stream: &'a Stream,
     reader: Reader,
+    /// How long the first request may have stood there, where it had begun before its client was let in.
+    stood: Option<Duration>,
     /// A request has begun and was told of.
     stirred: bool,
     /// What comes can't be told apart any more.
@@ -325,10 +351,11 @@
 impl Listening<'_> {
     fn read(&mut self, handle: &Handle, client: ClientId, talk: &Talk, inbox: &mut Inbox) -> ControlFlow<()> {
         // One at a time: the next is looked at when this one's answer is on its way.
-        while !talk.line.is_closing() && !talk.answering.get() {
+        while !talk.line.is_closing() && !talk.answering.get() && !talk.line.is_flooded() {
             if !self.stirred && self.reader.is_amid(inbox.unread()) {
                 self.stirred = true;
-                handle.feed(Event::Stirred(client));
+                let stood = self.stood.take().unwrap_or_default();
+                handle.feed(Event::Stirred(client, Span::of_micros(stood.as_micros() as u64)));
             }
             let event = match self.reader.read(inbox.unread()) {
                 Ok((used, message)) => {
@@ -353,6 +380,10 @@
                 }
             };
             self.stirred = false;
+            // It left while this waited to be read: nobody is there to be served, and its end comes next.
+            if has_left(self.stream) {
+                break;
+            }
             talk.answering.set(true);
             handle.feed(event);
         }
@@ -365,6 +396,19 @@
     }
 }
 
+/// Whether a connection's other side has ended it, where nothing stands unread before that end. One look at the
+/// system, as a request and the end right behind it are read one after the other.
+fn has_left(stream: &Stream) -> bool {
+    match stream.get_ref().peek(&mut [0]) {
+        Ok(count) => count == 0,
+        Err(error) => error.kind() == std::io::ErrorKind::ConnectionReset,
+    }
+}
+
+fn has_more(stream: &Stream) -> bool {
+    matches!(stream.get_ref().peek(&mut [0]), Ok(1..))
+}
+
 fn blame(fault: Fault) -> Blame {
     match fault {
         Fault::Malformed(what) => Blame::Request(what.into()),
--- a/crates/mixer/src/program/hub.rs
+++ b/crates/mixer/src/program/hub.rs
@@ -86,6 +86,7 @@
     handle.spawn(ring(hub.clone()));
     handle.spawn(heed(handle.clone(), signals, orders.operator_file, who));
     hub.leave.wait().await;
+    clients::all_told(&hub.clients).await;
     log::info!("{}: all is answered, the program ends", orders.name);
     Ok(())
 }
@@ -180,7 +181,7 @@
             }
             Effect::HangUp(link) => links.hang_up(link),
             Effect::Cut(link) => links.cut(link),
-            Effect::Watch { at, after } => self.watch.wish(at, after),
+            Effect::Watch { at, after, waits } => self.watch.wish(at, after, waits),
             Effect::Alarm(at) => {
                 self.alarm.set(Some(at));
                 self.alarm_set.ring();
--- a/crates/mixer/src/program/watch.rs
+++ b/crates/mixer/src/program/watch.rs
@@ -12,25 +12,32 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How long the agent may hold a watch: long, as each answer costs a call, and well under its minute.
-const HELD: Duration = Duration::from_millis(10_000);
-/// How much longer an answer may take that is due: the agent stands on this machine.
-const LATE: Duration = Duration::from_millis(1_000);
+/// How long the agent may hold a watch. One that fell silent is found by that: what it misses counts as told six
+/// seconds after (PROTOCOL.md), of which half are left for asking anew.
+const HELD: Duration = Duration::from_millis(2_500);
+/// How much longer an answer may take that is held.
+const LATE: Duration = Duration::from_millis(500);
+/// How long an answer may take that is not held. The agent stands on this machine and answers at once; with the
+/// module's pause before the next try it fits into the shortest grace for drains that a deployment has stated.
+const AT_ONCE: Duration = Duration::from_millis(200);
 
-/// What is to be asked next: whom, and for what is newer than a version.
+/// A question: whom, for what is newer than a version, and whether the answer may be held until there is something.
+type Asking = (SocketAddr, Option<u64>, bool);
+
+/// What is to be asked next.
 #[derive(Default)]
 pub struct Wish {
-    next: Cell<Option<(SocketAddr, Option<u64>)>>,
+    next: Cell<Option<Asking>>,
     bell: Bell,
 }
 
 impl Wish {
-    pub fn wish(&self, at: SocketAddr, after: Option<u64>) {
-        self.next.set(Some((at, after)));
+    pub fn wish(&self, at: SocketAddr, after: Option<u64>, waits: bool) {
+        self.next.set(Some((at, after, waits)));
         self.bell.ring();
     }
 
-    async fn next(&self) -> (SocketAddr, Option<u64>) {
+    async fn next(&self) -> Asking {
         loop {
             if let Some(next) = self.next.take() {
                 return next;
@@ -46,12 +53,12 @@
     let mut wish = wishes.next().await;
     let mut agent = Agent { at: wish.0, stream: None };
     loop {
-        let (at, after) = wish;
+        let (at, after, waits) = wish;
         if agent.at != at {
             agent = Agent { at, stream: None };
         }
         let other = async { Err(wishes.next().await) };
-        let event = match future::or(other, async { Ok(agent.ask(after).await) }).await {
+        let event = match future::or(other, async { Ok(agent.ask(after, waits).await) }).await {
             Err(other) => {
                 (agent.stream, wish) = (None, other);
                 continue;
@@ -81,10 +88,11 @@
 }
 
 impl Agent {
-    async fn ask(&mut self, after: Option<u64>) -> Result<News, String> {
-        let held = after.map_or(Duration::ZERO, |_| HELD);
-        let path = after.map_or_else(whole_path, |version| watch_path(version, HELD.as_millis() as u64));
-        let answer = in_time(held + LATE, self.call(&path)).await;
+    async fn ask(&mut self, after: Option<u64>, waits: bool) -> Result<News, String> {
+        let held = if waits && after.is_some() { HELD } else { Duration::ZERO };
+        let path = after.map_or_else(whole_path, |version| watch_path(version, held.as_millis() as u64));
+        let within = if held.is_zero() { AT_ONCE } else { held + LATE };
+        let answer = in_time(within, self.call(&path)).await;
         answer.unwrap_or_else(|| Err("no answer in time".into()))
     }
 
@@ -95,7 +103,7 @@
                 return self.heard(answer);
             }
         }
-        let stream = dial(self.at, LATE).await.map_err(|e| e.to_string())?;
+        let stream = dial(self.at, AT_ONCE).await.map_err(|e| e.to_string())?;
         let answer = self.exchange(&stream, path).await;
         self.stream = Some(stream);
         self.heard(answer?)
--- a/crates/mixer/src/routing/clients.rs
+++ b/crates/mixer/src/routing/clients.rs
@@ -116,11 +116,12 @@
         self.here.get(&client).map(|client| client.doing)
     }
 
-    pub fn stirred(&mut self, client_id: ClientId, now: Moment) {
+    /// What it asks counts from `began`, and is to be whole some time from now.
+    pub fn stirred(&mut self, client_id: ClientId, began: Moment, now: Moment) {
         if let Some(client) = self.here.get_mut(&client_id) {
-            client.doing = Doing::Asking(now);
+            client.doing = Doing::Asking(began);
             client.since = if client.new { client.since } else { now };
-            self.stand(client_id, Doing::Asking(now), now);
+            self.stand(client_id, Doing::Asking(began), now);
         }
     }
 
--- a/crates/mixer/src/routing/desk.rs
+++ b/crates/mixer/src/routing/desk.rs
@@ -42,6 +42,8 @@
     due: Moment,
     /// Its link broke under it before it was written, and it went to another.
     moved: bool,
+    /// Nobody waits for it: it is not to be written if that can be helped, and may not be called off once it is.
+    unwanted: bool,
     errand: Errand,
     place: Option<(LinkId, CallId)>,
 }
@@ -116,6 +118,26 @@
         self.let_go(|_, link| link.mute);
     }
 
+    /// Where the call of a relay stands, once it is on a link.
+    fn stand(&self, ticket: Ticket) -> Option<Stand> {
+        let (link, call) = self.relays.get(&ticket)?.place?;
+        Some(self.pool.links.get(&link)?.calls.get(&call)?.stand)
+    }
+
+    /// Asks for a relay back that was handed over. It is waited for on where that comes too late.
+    fn take_back(&mut self, ticket: Ticket) {
+        let Some(relay) = self.relays.get_mut(&ticket) else { return };
+        let Some((link_id, call_id)) = relay.place else { return };
+        relay.unwanted = true;
+        let link = self.pool.links.get_mut(&link_id);
+        if let Some(call) = link.and_then(|link| link.calls.get_mut(&call_id)) {
+            if call.stand == Stand::Handed {
+                call.stand = Stand::Recalled;
+                self.effects.push(Effect::Withdraw(link_id, call_id));
+            }
+        }
+    }
+
     /// What was written and is waited for no more: its answer may yet come.
     fn tell_given_up(&mut self, link_id: LinkId, id: String) {
         if self.pool.links.get(&link_id).is_some_and(|link| link.tongue == Tongue::Dialect) {
@@ -158,7 +180,7 @@
         if link.tongue == Tongue::Dialect && !self.roll.knows_version(link.to) {
             self.effects.push(Effect::AskVersion(id));
         }
-        if link.checking {
+        if link.checking && self.roll.is_ready(link.to) {
             self.effects.push(Effect::Check(id));
         }
         calls.into_iter().for_each(|call| self.hand_over(id, call));
@@ -196,7 +218,9 @@
         let Some(call) = link.calls.remove(&call_id) else { return };
         let ready = self.roll.is_ready(link.to);
         for ticket in call.parts {
-            if ready {
+            if self.relays.get(&ticket).is_some_and(|relay| relay.unwanted) {
+                self.land(ticket, Landing::CalledOff);
+            } else if ready {
                 self.unplaced.push(ticket);
             } else {
                 self.land(ticket, Landing::Unsent);
@@ -208,7 +232,7 @@
     /// that end just as they are used again, which says nothing of whether their searcher can be reached.
     pub fn goes_on(&mut self, ticket: Ticket) -> bool {
         let Some(relay) = self.relays.get_mut(&ticket) else { return false };
-        let goes_on = !relay.moved && self.roll.is_ready(relay.to);
+        let goes_on = !relay.moved && !relay.unwanted && self.roll.is_ready(relay.to);
         relay.moved = true;
         self.unplaced.extend(goes_on.then_some(ticket));
         goes_on
@@ -343,16 +367,21 @@
         let shard = open.parts[part].0;
         let (id, label, text) = (format!("{}.{shard}", open.name), open.label.clone(), open.text.clone());
         let errand = Errand { id, shard, waits_ms: 0, label, text, asked: open.asked.clone() };
-        let relay = Relay { scan, part, to, left: self.now, due, moved: false, errand, place: None };
+        let relay =
+            Relay { scan, part, to, left: self.now, due, moved: false, unwanted: false, errand, place: None };
         self.relays.insert(ticket, relay);
         self.sums.relays += 1;
         self.unplaced.push(ticket);
         self.alarms.set(due, Alarm::Overdue(ticket, due));
     }
 
-    fn call_off(&mut self, relay: Ticket) {
-        if self.may_call_off {
-            self.give_up(relay, Landing::CalledOff);
+    /// What was written is called off only where the platform lets us; what was not is nobody's yet, and is taken
+    /// back whatever the platform says.
+    fn call_off(&mut self, ticket: Ticket) {
+        match self.stand(ticket) {
+            Some(Stand::Out) if !self.may_call_off => {}
+            Some(Stand::Handed | Stand::Recalled) if !self.may_call_off => self.take_back(ticket),
+            _ => self.give_up(ticket, Landing::CalledOff),
         }
     }
 
--- a/crates/mixer/src/routing/doors.rs
+++ b/crates/mixer/src/routing/doors.rs
@@ -315,7 +315,7 @@
     fn asks(&mut self, number: usize) {
         let client = ClientId(number as u64 + 1);
         self.feed(Event::Knocked(client, [10, 0, (number >> 8) as u8, number as u8].into()));
-        self.feed(Event::Stirred(client));
+        self.feed(Event::Stirred(client, Span::ZERO));
         self.scan_of.insert(client, number);
         let line = self.lines[number].clone();
         let event = match self.door {
--- a/crates/mixer/src/routing/event.rs
+++ b/crates/mixer/src/routing/event.rs
@@ -35,8 +35,8 @@
 pub enum Event {
     /// A client's connection was accepted; whether it is let in is answered by an effect.
     Knocked(ClientId, IpAddr),
-    /// The first byte of a request has come.
-    Stirred(ClientId),
+    /// The first byte of a request has come, and may have stood there unread for so long.
+    Stirred(ClientId, Span),
     Asked(ClientId, Ask),
     HealthAsked(ClientId),
     /// One who may asked what this mixer tells of itself.
@@ -120,10 +120,11 @@
     /// Ends a link whatever is going on there; what waits to be written never is.
     Cut(LinkId),
     /// Asks discovery, in place of whatever it was asked before: for what is newer than a version, or for
-    /// the whole list.
+    /// the whole list; `waits` where it may hold its answer until there is something.
     Watch {
         at: SocketAddr,
         after: Option<u64>,
+        waits: bool,
     },
     /// Asks for `Event::TimeCame` at that time; replaces what was asked for before.
     Alarm(Moment),
--- a/crates/mixer/src/routing/roll.rs
+++ b/crates/mixer/src/routing/roll.rs
@@ -17,6 +17,8 @@
     discovery: Option<SocketAddr>,
     /// What the next watch goes on from; none where the whole list is to be had first.
     version: Option<u64>,
+    /// It has not answered since it broke, or moved: what it has is asked for, and nothing yet to come waited for.
+    unheard: bool,
     /// Who speaks the query dialect.
     pub dialect: Dialect,
     /// The zone that it has a price to leave.
@@ -34,19 +36,27 @@
 impl Roll {
     /// Discovery is there from now on, and what was had so far may be old: the whole list comes first.
     pub fn move_to(&mut self, discovery: SocketAddr) {
-        (self.discovery, self.version) = (Some(discovery), None);
+        (self.discovery, self.version, self.unheard) = (Some(discovery), None, true);
     }
 
     /// What discovery is to be asked next.
     pub fn watch(&self) -> Option<Effect> {
-        self.discovery.map(|at| Effect::Watch { at, after: self.version })
+        self.discovery.map(|at| Effect::Watch { at, after: self.version, waits: !self.unheard })
     }
 
-    /// Takes news in, and gives what the module is to hear. After a list of changes that is older than what
-    /// was told before, the whole list is to be had.
+    /// A watch of it broke.
+    pub fn broke(&mut self) {
+        self.unheard = true;
+    }
+
+    /// Takes news in, and gives what the module is to hear. Of changes that are older than what was told before
+    /// nothing is taken, as they might have a searcher ready again that drains: the whole list is to be had.
     pub fn take(&mut self, news: &News) -> Vec<Listing> {
         let back = !news.whole && self.version.is_some_and(|version| news.version < version);
-        self.version = (!back).then_some(news.version);
+        (self.version, self.unheard) = ((!back).then_some(news.version), false);
+        if back {
+            return Vec::new();
+        }
         let named: BTreeSet<&String> = news.rows.iter().map(|row| &row.name).collect();
         if news.whole {
             self.keep(|name| named.contains(name));
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -41,8 +41,11 @@
     name: String,
     /// Scans and parts that may be open at once.
     most_held: usize,
-    /// No client comes any more, and none that is idle stays.
+    /// No client comes any more, none that is idle stays, and what is asked now finds nobody who will be here to
+    /// answer it: whoever stops us waits for what came before (PROTOCOL.md).
     last_call: bool,
+    /// How often the watch broke since discovery last answered.
+    broke: u32,
     descriptors: Descriptors,
     /// When the door is next to be looked after.
     door_due: Option<Moment>,
@@ -104,6 +107,7 @@
             name: name.into(),
             most_held: readings.number("limits.max_open", 20_000.0)? as usize,
             last_call: false,
+            broke: 0,
             descriptors,
             door_due: None,
             come_back,
@@ -126,7 +130,7 @@
         self.desk.now = now;
         self.hear(known);
         self.desk.roll.move_to(discovery);
-        self.mixer.watch(&mut self.desk, false);
+        self.mixer.watch(&mut self.desk, 0);
         self.settle()
     }
 
@@ -276,7 +280,7 @@
         self.desk.names.insert(ask.name);
         self.desk.clients.set(client, Doing::Waiting(id), self.desk.now);
         // The bench turns such scans away before they reach a mixer; here they come this far.
-        if self.desk.held > self.most_held {
+        if self.desk.held > self.most_held || self.last_call {
             return self.mixer.turn_away(&mut self.desk, id);
         }
         self.mixer.taken(&mut self.desk, id, scan);
@@ -490,8 +494,8 @@
     state.desk.now = now;
     match event {
         Event::Knocked(client, from) => state.desk.clients.knocked(client, from, now),
-        Event::Stirred(client) => {
-            state.desk.clients.stirred(client, now);
+        Event::Stirred(client, stood) => {
+            state.desk.clients.stirred(client, now.less(stood), now);
             state.await_whole(client, now);
         }
         Event::Asked(client, ask) => state.asked(client, ask),
@@ -516,13 +520,18 @@
         Event::LinkEnded(link, ending) => state.link_ended(link, ending),
         Event::Told(news) => {
             state.hear(&news);
+            state.broke = 0;
             state.desk.watch_list();
         }
         Event::Moved(discovery) => {
             state.desk.roll.move_to(discovery);
             state.desk.watch_list();
         }
-        Event::WatchBroke => state.mixer.watch(&mut state.desk, true),
+        Event::WatchBroke => {
+            state.desk.roll.broke();
+            state.broke = state.broke.saturating_add(1);
+            state.mixer.watch(&mut state.desk, state.broke);
+        }
         Event::TimeCame => state.time_came(),
         Event::StopAsked => state.stop(),
         Event::Short => state.desk.clients.ran_short(now),
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -118,7 +118,7 @@
 
     fn ask(&mut self, ask: Ask) -> ClientId {
         let client = self.come();
-        self.feed(Event::Stirred(client));
+        self.feed(Event::Stirred(client, Span::ZERO));
         self.feed(Event::Asked(client, ask));
         client
     }
@@ -610,7 +610,7 @@
     );
     play.feed(Event::ClientGone(first));
     assert!(play.did(&Effect::LetIn(third)));
-    play.feed(Event::Stirred(third));
+    play.feed(Event::Stirred(third, Span::ZERO));
     play.feed(Event::Asked(third, ask("b", "look", &[0])));
     let fourth = play.come();
     assert!(!play.did(&Effect::Dismiss(busy)) && !play.did(&Effect::Dismiss(third)), "scans are open");
@@ -661,14 +661,14 @@
     let mut play = play(1);
     let client = play.come();
     if has_asked {
-        play.feed(Event::Stirred(client));
+        play.feed(Event::Stirred(client, Span::ZERO));
         play.feed(Event::HealthAsked(client));
         assert_eq!(play.replies(), [(client, Reply::Health(true), false)]);
     }
     for at in (100..=6_000).step_by(100) {
         play.pass(100);
         if stirs == Some(at) {
-            play.feed(Event::Stirred(client));
+            play.feed(Event::Stirred(client, Span::ZERO));
         }
         assert_eq!(play.did(&Effect::Dismiss(client)), at == dropped, "after {at}");
     }
@@ -686,7 +686,7 @@
     assert!(play.did(&Effect::Dismiss(crowd[0])));
     play.feed(Event::ClientGone(crowd[0]));
     assert!(play.did(&Effect::LetIn(usual)));
-    play.feed(Event::Stirred(usual));
+    play.feed(Event::Stirred(usual, Span::ZERO));
     play.feed(Event::Asked(usual, ask("a", "look", &[0])));
     play.come();
     assert!(play.did(&Effect::Dismiss(crowd[1])), "at once, for the next who waits");
@@ -711,7 +711,7 @@
 fn nothing_can_be_served_before_a_searcher_is_listed() {
     let mut play = play(0);
     let client = play.come();
-    play.feed(Event::Stirred(client));
+    play.feed(Event::Stirred(client, Span::ZERO));
     play.feed(Event::HealthAsked(client));
     assert_eq!(play.replies(), [(client, Reply::Health(false), false)]);
 }
@@ -801,7 +801,7 @@
 fn a_drain_told_between_two_relays_of_a_search_is_kept() {
     let mut play = play_in_dialect(2);
     let client = play.come();
-    play.feed(Event::Stirred(client));
+    play.feed(Event::Stirred(client, Span::ZERO));
     let request =
         fernglade_dialect::request::Request::read("GET", "/cues/_search?preference=_shards:2", |_| None, b"");
     play.feed(Event::Queried(client, Box::new(request.unwrap())));
@@ -824,7 +824,7 @@
     let mut play = play_in_dialect(1);
     play.ask(ask("q7-1", "look", &[0]));
     let client = play.come();
-    play.feed(Event::Stirred(client));
+    play.feed(Event::Stirred(client, Span::ZERO));
     let request =
         fernglade_dialect::request::Request::read("GET", "/cues/_search?preference=_shards:0", |_| None, b"");
     play.feed(Event::Queried(client, Box::new(request.unwrap())));
--- a/crates/mixer/src/transport/pump.rs
+++ b/crates/mixer/src/transport/pump.rs
@@ -1,14 +1,18 @@
 //! Both directions of one connection, as one task, until either ends.
 
 use super::{in_time, Bell, Inbox, Outbox, Stream};
+use async_io::Timer;
 use futures_lite::{future, AsyncReadExt};
 use std::cell::Cell;
-use std::io;
+use std::io::{self, Read};
 use std::ops::ControlFlow;
 use std::time::Duration;
 
 /// How long a line that is to be closed may take to write what waits.
 const FLUSH: Duration = Duration::from_secs(2);
+/// How much of what comes over a full inbox is thrown away at a time, and how often: what the system holds for a
+/// connection at first is through within a few tens of milliseconds, and a peer that never stops costs little.
+const WASTE: (usize, Duration) = (16 * 1024, Duration::from_millis(5));
 
 /// The near end of a connection, by which others write to it and close it.
 pub struct Line {
@@ -17,6 +21,8 @@
     pub look: Bell,
     closing: Cell<bool>,
     cut: Cell<bool>,
+    /// More came than may wait, and was thrown away: what follows can't be told apart.
+    flooded: Cell<bool>,
 }
 
 /// Why a connection is over.
@@ -33,8 +39,14 @@
 
 impl Line {
     pub fn new(most_waiting: usize) -> Self {
-        let (closing, cut) = (Cell::new(false), Cell::new(false));
-        Self { outbox: Outbox::new(most_waiting), look: Bell::default(), closing, cut }
+        let outbox = Outbox::new(most_waiting);
+        Self {
+            outbox,
+            look: Bell::default(),
+            closing: false.into(),
+            cut: false.into(),
+            flooded: false.into(),
+        }
     }
 
     /// Closes once what waits has been written.
@@ -47,6 +59,10 @@
         self.closing.get()
     }
 
+    pub fn is_flooded(&self) -> bool {
+        self.flooded.get()
+    }
+
     /// Closes at once if nothing waits.
     pub fn dismiss(&self) {
         if self.outbox.is_empty() {
@@ -75,13 +91,16 @@
 ) -> Stop<H> {
     let reader = async {
         loop {
+            // What was taken from the system is read before anybody else runs: who closes the line meanwhile would
+            // throw away what its peer has every reason to think taken.
             if let ControlFlow::Break(halt) = read(&mut inbox) {
                 return Stop::Halted(halt);
             }
+            // A peer that never pauses lets the others run.
+            future::yield_now().await;
             match next_bytes(stream, line, &mut inbox).await {
                 Ok(Some(0)) => return Stop::Ended,
-                // A peer that never pauses lets the others run.
-                Ok(_) => future::yield_now().await,
+                Ok(_) => {}
                 Err(_) => return Stop::Broke,
             }
         }
@@ -126,7 +145,14 @@
         Ok(None)
     };
     if inbox.is_full() {
-        return look.await;
+        // Nothing more may wait; but the peer's end, behind what it still sends, is to be seen.
+        let waste = async {
+            Timer::after(WASTE.1).await;
+            let count = stream.read_with(|mut socket| socket.read(&mut [0; WASTE.0])).await?;
+            line.flooded.set(line.flooded.get() || count > 0);
+            Ok(Some(0).filter(|_| count == 0))
+        };
+        return future::or(look, waste).await;
     }
     let mut socket = stream;
     let count = future::or(look, async { socket.read(inbox.space()).await.map(Some) }).await?;
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -171,7 +171,7 @@
         let books = Books { number, may_call_off: readings.yes("limits.cancel"), ..Books::default() };
         let mut instance = Self { mixer, books, arriving: None, dear_outside: readings.dear_outside()? };
         if readings.says("discovery", "on_request") {
-            instance.with(now, reply, |mixer, host| mixer.watch(host, false));
+            instance.with(now, reply, |mixer, host| mixer.watch(host, 0));
         }
         Ok(instance)
     }
@@ -224,7 +224,7 @@
 
     pub fn listed(&mut self, how: u8, entries: Option<&Vec<Entry>>, now: Moment, reply: &mut Reply) {
         if how == 2 {
-            return self.with(now, reply, |mixer, host| mixer.watch(host, true));
+            return self.with(now, reply, |mixer, host| mixer.watch(host, 1));
         }
         let entries = entries.map_or(&[][..], Vec::as_slice);
         let dear_outside = self.dear_outside;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -507,6 +507,8 @@
     wakes: Slab<Then<()>>,
     /// Searchers answer checks at once, whatever waits there: the operator's word.
     pub beside_queue: bool,
+    /// The drains' grace, where changes of the list are pushed to an agent on this machine.
+    pub pushed: Option<Span>,
     /// What is done as one of a fleet, where the operator wants it: asked before the mixer's own limits.
     fleet: Option<Box<dyn Fleet>>,
 }
@@ -520,10 +522,17 @@
         mixer
     }
 
-    /// Keeps the list watched; asks again, where that broke, after a pause.
-    pub fn watch(&mut self, host: &mut dyn Host, again: bool) {
-        let pause = if again { 500 + self.roster.chance.below(500) as u64 } else { 0 };
-        self.later(host, Span::of_millis(pause), |_, host| host.watch_list());
+    /// Keeps the list watched, which broke so often since it was last heard. Where changes are pushed to an agent
+    /// at hand, what that has counts as told: it is asked anew at once, then by quarters of the drains' grace, so
+    /// that a try in vain and the next fit in it; against all that comes between a break and the next word. Hurts
+    /// an agent that is down by a call each time. Where all ask one service each has a pause of its own.
+    pub fn watch(&mut self, host: &mut dyn Host, broke: u32) {
+        let pause = match (broke, self.pushed) {
+            (0, _) | (1, Some(_)) => Span::ZERO,
+            (_, Some(grace)) => (grace * 0.25).max(Span::of_millis(20)),
+            (_, None) => Span::of_millis(500 + self.roster.chance.below(500) as u64),
+        };
+        self.later(host, pause, |_, host| host.watch_list());
     }
 
     /// News of searchers; with `whole` who is not in it is gone.
