--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -116,12 +116,12 @@
     }
 
     pub fn dismiss(&self, client: ClientId) {
-        self.with(client, |talk| talk.line.dismiss());
+        self.with(client, |talk| talk.send_off());
     }
 
     pub fn reply(&self, handle: &Handle, client: ClientId, reply: &Reply, last: bool) {
         self.with(client, |talk| {
-            let last = last || talk.is_last.get() || talk.line.is_flooded();
+            let last = last || talk.is_last.get() || talk.sent_off.get() || talk.line.is_flooded();
             let bytes = match reply {
                 Reply::Answer { whole, values } => scans::answer(*whole, values, last),
                 Reply::Bounce(pause) => bounce(*pause, last),
@@ -275,11 +275,19 @@
     answering: Cell<bool>,
     /// The client wants no more than this answer.
     is_last: Cell<bool>,
+    /// It is to go, once what has come from it is answered.
+    sent_off: Cell<bool>,
 }
 
 impl Talk {
     fn new() -> Self {
-        Self { line: Line::new(MOST_WAITING), answering: Cell::new(false), is_last: Cell::new(false) }
+        let line = Line::new(MOST_WAITING);
+        Self { line, answering: false.into(), is_last: false.into(), sent_off: false.into() }
+    }
+
+    fn send_off(&self) {
+        self.sent_off.set(true);
+        self.line.look.ring();
     }
 
     fn answer(&self, bytes: Vec<u8>, last: bool) {
@@ -352,15 +360,18 @@
     fn read(&mut self, handle: &Handle, client: ClientId, talk: &Talk, inbox: &mut Inbox) -> ControlFlow<()> {
         // One at a time: the next is looked at when this one's answer is on its way.
         while !talk.line.is_closing() && !talk.answering.get() && !talk.line.is_flooded() {
-            if !self.stirred && self.reader.is_amid(inbox.unread()) {
-                self.stirred = true;
-                let stood = self.stood.take().unwrap_or_default();
-                handle.feed(Event::Stirred(client, Span::of_micros(stood.as_micros() as u64)));
+            if let Some(stood) = self.stood.take() {
+                self.stir(handle, client, stood);
             }
             let event = match self.reader.read(inbox.unread()) {
                 Ok((used, message)) => {
                     inbox.used(used);
-                    let Some(message) = message else { break };
+                    let Some(message) = message else {
+                        if !self.stirred && self.reader.is_amid(inbox.unread()) {
+                            self.stir(handle, client, Duration::ZERO);
+                        }
+                        break;
+                    };
                     if !message.keeps() {
                         talk.is_last.set(true);
                     }
@@ -387,9 +398,19 @@
             talk.answering.set(true);
             handle.feed(event);
         }
+        // All that has come was looked at: a request on its way when its client was sent off has its answer first.
+        if talk.sent_off.get() && !talk.answering.get() {
+            talk.line.dismiss();
+        }
         ControlFlow::Continue(())
     }
 
+    /// A request has begun, and is not known to be whole.
+    fn stir(&mut self, handle: &Handle, client: ClientId, stood: Duration) {
+        self.stirred = true;
+        handle.feed(Event::Stirred(client, Span::of_micros(stood.as_micros() as u64)));
+    }
+
     fn may_read_figures(&self) -> bool {
         let from = self.stream.get_ref().peer_addr();
         from.is_ok_and(|from| self.clients.who.tells_to(from.ip()))
--- a/crates/mixer/src/routing/clients.rs
+++ b/crates/mixer/src/routing/clients.rs
@@ -25,6 +25,8 @@
     doing: Doing,
     /// Nothing whole has come from it yet.
     new: bool,
+    /// It was sent off. What it had asked by then is answered, and is the last.
+    leaves: bool,
     /// When it came, if it is new; else when it fell idle or began to ask.
     since: Moment,
 }
@@ -54,7 +56,7 @@
 
     /// It was let in.
     pub fn came(&mut self, client: ClientId, now: Moment) {
-        self.here.insert(client, Client { doing: Doing::Idle, new: true, since: now });
+        self.here.insert(client, Client { doing: Doing::Idle, new: true, leaves: false, since: now });
     }
 
     /// What the house has asked for since it was last asked; whoever is to leave is marked so.
@@ -62,7 +64,8 @@
         let acts = std::mem::take(&mut self.acts);
         for act in &acts {
             if let Act::Leave(Guest(id)) = act {
-                self.here.entry(ClientId(*id)).and_modify(|client| client.doing = Doing::Leaving);
+                let client = self.here.entry(ClientId(*id));
+                client.and_modify(|client| (client.doing, client.leaves) = (Doing::Leaving, true));
             }
         }
         acts
@@ -128,7 +131,8 @@
     /// A whole request has come, or its answer went out.
     pub fn set(&mut self, client_id: ClientId, doing: Doing, now: Moment) {
         if let Some(client) = self.here.get_mut(&client_id) {
-            *client = Client { doing, new: false, since: now };
+            let leaves = client.leaves || doing == Doing::Leaving;
+            *client = Client { doing, new: false, leaves, since: now };
             self.stand(client_id, doing, now);
         }
     }
@@ -147,9 +151,20 @@
         self.here.is_empty() && self.house.is_empty()
     }
 
-    /// Whether its connection ends with its answer, to make room.
+    /// Whether its connection ends with its answer: it was sent off, or it makes room.
     pub fn ends_with_answer(&self, client: ClientId, now: Moment) -> bool {
-        self.house.ends_with_answer(now, Guest(client.0))
+        let leaves = self.here.get(&client).is_some_and(|client| client.leaves);
+        leaves || self.house.ends_with_answer(now, Guest(client.0))
+    }
+
+    /// Since when a request that is whole now has been coming; none where its client is not here, or waits for
+    /// another.
+    pub fn asking_since(&self, client: ClientId, now: Moment) -> Option<Moment> {
+        match self.here.get(&client)?.doing {
+            Doing::Asking(began) => Some(began),
+            Doing::Idle | Doing::Leaving => Some(now),
+            Doing::Waiting(_) => None,
+        }
     }
 
     /// All idle ones leave, but for the new ones that came later.
--- a/crates/mixer/src/routing/desk.rs
+++ b/crates/mixer/src/routing/desk.rs
@@ -238,12 +238,15 @@
         goes_on
     }
 
-    /// Takes back what was not written to searchers that are to get nothing new, and lets go of their links.
+    /// Takes back what was not written to searchers that are to get nothing new, or are elsewhere now, and lets go of
+    /// the links there.
     pub fn keep_drains(&mut self) {
-        self.let_go(|roll, link| !roll.is_ready(link.to) || roll.address(link.to) != Some(link.address));
+        let stays =
+            |roll: &Roll, link: &Link| roll.is_ready(link.to) && roll.address(link.to) == Some(link.address);
+        self.let_go(|roll, link| !stays(roll, link));
         let roll = &self.roll;
         let mut dropped = Vec::new();
-        for (link_id, link) in self.pool.links.iter_mut().filter(|(_, link)| !roll.is_ready(link.to)) {
+        for (link_id, link) in self.pool.links.iter_mut().filter(|(_, link)| !stays(roll, link)) {
             for (call_id, call) in &mut link.calls {
                 match call.stand {
                     Stand::Held => dropped.push((*link_id, *call_id)),
--- a/crates/mixer/src/routing/event.rs
+++ b/crates/mixer/src/routing/event.rs
@@ -35,7 +35,7 @@
 pub enum Event {
     /// A client's connection was accepted; whether it is let in is answered by an effect.
     Knocked(ClientId, IpAddr),
-    /// The first byte of a request has come, and may have stood there unread for so long.
+    /// A request has begun and may not be whole, or may have stood there unread for so long.
     Stirred(ClientId, Span),
     Asked(ClientId, Ask),
     HealthAsked(ClientId),
--- a/crates/mixer/src/routing/mod.rs
+++ b/crates/mixer/src/routing/mod.rs
@@ -12,6 +12,8 @@
 mod state;
 mod sums;
 
+#[cfg(test)]
+mod any_order;
 #[cfg(test)]
 mod doors;
 #[cfg(test)]
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -195,13 +195,13 @@
     }
 
     fn asked(&mut self, client: ClientId, ask: Ask) {
-        let Some(Doing::Asking(began)) = self.desk.clients.doing(client) else { return };
+        let Some(began) = self.desk.clients.asking_since(client, self.desk.now) else { return };
         self.open(client, ask, began, None);
     }
 
     /// The same in the query dialect: it becomes the same scan.
     fn queried(&mut self, client: ClientId, request: Request) {
-        let Some(Doing::Asking(began)) = self.desk.clients.doing(client) else { return };
+        let Some(began) = self.desk.clients.asking_since(client, self.desk.now) else { return };
         let opaque = request.opaque.clone();
         let told = match request.what {
             What::Many { index, lines } => {
--- a/crates/mixer/src/transport/pump.rs
+++ b/crates/mixer/src/transport/pump.rs
@@ -154,8 +154,9 @@
         };
         return future::or(look, waste).await;
     }
+    // What is there comes first: whoever asks for another look is to see it.
     let mut socket = stream;
-    let count = future::or(look, async { socket.read(inbox.space()).await.map(Some) }).await?;
+    let count = future::or(async { socket.read(inbox.space()).await.map(Some) }, look).await?;
     inbox.came(count.unwrap_or(0));
     Ok(count)
 }
