--- a/crates/mixer/src/program/watch.rs
+++ b/crates/mixer/src/program/watch.rs
@@ -96,17 +96,14 @@
         answer.unwrap_or_else(|| Err("no answer in time".into()))
     }
 
-    /// A kept connection that was closed meanwhile is no failure: the call is made once more on a new one.
     async fn call(&mut self, path: &str) -> Result<News, String> {
-        if let Some(stream) = &self.stream {
-            if let Ok(answer) = self.exchange(stream, path).await {
-                return self.heard(answer);
-            }
-        }
-        let stream = dial(self.at, AT_ONCE).await.map_err(|e| e.to_string())?;
-        let answer = self.exchange(&stream, path).await;
+        let stream = match self.stream.take() {
+            Some(kept) => kept,
+            None => dial(self.at, AT_ONCE).await.map_err(|e| e.to_string())?,
+        };
+        let answer = self.exchange(&stream, path).await?;
         self.stream = Some(stream);
-        self.heard(answer?)
+        self.heard(answer)
     }
 
     fn heard(&mut self, answer: Message) -> Result<News, String> {
--- a/crates/mixer/src/routing/clients.rs
+++ b/crates/mixer/src/routing/clients.rs
@@ -115,10 +115,6 @@
         self.here.remove(&client).map(|client| client.doing)
     }
 
-    pub fn doing(&self, client: ClientId) -> Option<Doing> {
-        self.here.get(&client).map(|client| client.doing)
-    }
-
     /// What it asks counts from `began`, and is to be whole some time from now.
     pub fn stirred(&mut self, client_id: ClientId, began: Moment, now: Moment) {
         if let Some(client) = self.here.get_mut(&client_id) {
--- /dev/null
+++ b/crates/mixer/tests/ends.rs
@@ -0,0 +1,352 @@
+//! What is still owed when something ends at the wrong instant, on real connections to the built program. Each bad
+//! order is brought about every time: by a peer that writes, closes, resets or says nothing on the test's word, or by
+//! a mixer that is held still while its peers act. docs/architecture.md has the table of these ends.
+
+use fernglade_standins::child::{file, free_address, orders, start, Mixer};
+use fernglade_standins::client::{answer, reset, say, scan, scan_of, try_answer, Client, HEALTH};
+use fernglade_standins::discovery::{agent, list, Agent, Call};
+use fernglade_standins::searcher::{good, late_port, mute, searcher, searcher_on};
+use fernglade_standins::PATIENCE;
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::mpsc::Receiver;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+/// What is given in place of what in the orders.
+type Change<'a> = (&'a str, &'a str);
+
+/// So long a quoted time that only an event ends a scan before a test is over.
+const LONG: [Change; 2] =
+    [("\"aim\":2000000", "\"aim\":60000000"), ("\"give_up\":4000000", "\"give_up\":60000000")];
+
+fn mixer(name: &str, discovery: SocketAddr, known: &str, changes: &[Change]) -> Mixer {
+    mixer_within(1024, name, discovery, known, changes)
+}
+
+/// With so many descriptors allowed by the system.
+fn mixer_within(held: usize, name: &str, discovery: SocketAddr, known: &str, changes: &[Change]) -> Mixer {
+    let at = free_address();
+    let change = |text: String, (from, to): &Change| text.replace(from, to);
+    let text = changes.iter().fold(orders(&at.to_string(), discovery, known), change);
+    start(Path::new(env!("CARGO_BIN_EXE_fernglade-mixer")), held, file(name, &text), None, at)
+}
+
+fn patient(name: &str) -> String {
+    scan(name, &[0]).replace("X-Timeout: 4.0", "X-Timeout: 60.0")
+}
+
+/// Everything that has come to the mixer before this is through once it has answered twice.
+fn settle(mixer: &Mixer) {
+    for _ in 0..2 {
+        let mut client = mixer.client();
+        say(&mut client, HEALTH);
+        answer(&mut client);
+    }
+}
+
+/// The frames that a searcher read up to the part of this scan, and not that one.
+fn before(told: &Receiver<(u8, String)>, name: &str) -> Vec<(u8, String)> {
+    let first = format!("{name}.");
+    let frame = || told.recv_timeout(PATIENCE).expect("the mixer serves on");
+    std::iter::from_fn(|| Some(frame()).filter(|(_, rest)| !rest.starts_with(&first))).collect()
+}
+
+fn ask(mixer: &Mixer, name: &str) -> u16 {
+    let mut client = mixer.client();
+    say(&mut client, scan(name, &[0]));
+    answer(&mut client).0
+}
+
+#[test_case(false; "in order")]
+#[test_case(true; "by a reset")]
+fn a_request_whose_client_left_before_it_was_read_is_not_sent_on(resets: bool) {
+    let (address, told) = searcher(good);
+    let mixer = mixer(&format!("unread-{resets}"), agent(list(&[address])), &list(&[address]), &[]);
+    assert_eq!(ask(&mixer, "warm"), 200, "the link is up: nothing holds a call back");
+    mixer.signal("-STOP");
+    let mut client = mixer.client();
+    say(&mut client, scan("left", &[0]));
+    if resets {
+        reset(client);
+    } else {
+        drop(client);
+    }
+    mixer.signal("-CONT");
+    assert_eq!(ask(&mixer, "mark"), 200);
+    let seen = before(&told, "mark");
+    assert!(seen.iter().all(|(_, rest)| rest.starts_with("warm.")), "{seen:?}");
+}
+
+/// Its end stands behind more than may wait behind a request in work.
+#[test]
+fn a_client_that_sends_much_at_once_and_goes_is_seen_to_go() {
+    let (address, told) = searcher(mute);
+    let mixer = mixer("flood", agent(list(&[address])), &list(&[address]), &LONG);
+    let mut client = mixer.client();
+    say(&mut client, patient("first"));
+    assert_eq!(told.recv_timeout(PATIENCE).unwrap().0, b'm');
+    let rest: String = (0..300).map(|number| patient(&format!("rest{number}"))).collect();
+    assert!(rest.len() > 40_000);
+    say(&mut client, rest);
+    drop(client);
+    assert_eq!(told.recv_timeout(PATIENCE).unwrap(), (b'n', "first.0".into()));
+    let mut client = mixer.client();
+    say(&mut client, patient("mark"));
+    assert_eq!(before(&told, "mark"), [], "nothing of what stood behind it");
+}
+
+/// And one that sends as much and stays has the answer to what it asked first, and then an end.
+#[test]
+fn a_client_that_sends_much_at_once_and_stays_has_its_answer() {
+    let (listener, queue) = late_port();
+    let address = listener.local_addr().unwrap();
+    let late = [("\"dial_timeout\":250000", "\"dial_timeout\":15000000"), LONG[0], LONG[1]];
+    let mixer = mixer("stays", agent(list(&[address])), &list(&[address]), &late);
+    let mut client = mixer.client();
+    say(&mut client, patient("first") + &(0..200).map(|n| patient(&format!("rest{n}"))).collect::<String>());
+    settle(&mixer);
+    drop(queue);
+    let _told = searcher_on(listener, good);
+    assert_eq!(answer(&mut client).0, 200);
+    let rest = std::iter::from_fn(|| try_answer(&mut client).ok());
+    assert!(rest.take(2).count() < 2, "it ends, whatever stood behind");
+}
+
+/// A call that waits for its link when its client leaves, where the platform lets nobody call off what was sent.
+#[test_case("true")]
+#[test_case("false")]
+fn what_waits_for_a_link_is_not_sent_once_its_client_has_left(may_call_off: &str) {
+    let (listener, queue) = late_port();
+    let address = listener.local_addr().unwrap();
+    let cancel = format!("\"cancel\":{may_call_off}");
+    let changes = [
+        ("\"cancel\":true", &*cancel),
+        ("\"dial_timeout\":250000", "\"dial_timeout\":15000000"),
+        LONG[0],
+        LONG[1],
+    ];
+    let mixer = mixer(&format!("late-{may_call_off}"), agent(list(&[address])), &list(&[address]), &changes);
+    let (mut client, mut other) = (mixer.client(), mixer.client());
+    say(&mut client, patient("left"));
+    settle(&mixer);
+    drop(client);
+    settle(&mixer);
+    let told = searcher_on(listener, good);
+    drop(queue);
+    say(&mut other, patient("mark"));
+    assert_eq!(answer(&mut other).0, 200);
+    assert_eq!(before(&told, "mark"), []);
+}
+
+/// How discovery's watch ends under the mixer.
+enum Ends {
+    Silent,
+    Closed,
+    Reset,
+}
+
+#[test_case(Ends::Silent)]
+#[test_case(Ends::Closed)]
+#[test_case(Ends::Reset)]
+fn a_watch_that_ends_is_opened_anew_and_asks_for_what_is_there(ends: Ends) {
+    let ((drains, told), (stays, _told)) = (searcher(good), searcher(good));
+    let (agent, both) = (Agent::default(), list(&[drains, stays]));
+    let name = format!("watch-{}", agent.at().port());
+    let mixer = mixer(&name, agent.at(), &both, &[("\"tick\"", "\"discovery\":\"pushed\",\"tick\"")]);
+    let watch = agent.call().answer(&both);
+    assert!(
+        watch.path.starts_with("/v1/servers?after=1&wait_ms=") && !watch.path.ends_with("=0"),
+        "{}",
+        watch.path
+    );
+    let since = Instant::now();
+    let held: Option<Call> = match ends {
+        Ends::Silent => Some(watch),
+        Ends::Closed => {
+            drop(watch);
+            None
+        }
+        Ends::Reset => {
+            watch.reset();
+            None
+        }
+    };
+    let again = agent.call();
+    // What it misses counts as told six seconds after it fell silent.
+    assert!(since.elapsed() < Duration::from_secs(5), "{:?}", since.elapsed());
+    assert!(matches!(again.path.as_str(), "/v1/servers?after=1&wait_ms=0"), "{}", again.path);
+    let row =
+        format!(r#"{{"instanceId":"s0","hostPort":"{drains}","zone":"a","cell":0,"lifecycle":"DRAINING"}}"#);
+    let next = again.answer(&format!(r#"{{"generation":2,"reset":false,"instances":[{row}]}}"#));
+    assert!(
+        next.path.starts_with("/v1/servers?after=2&wait_ms=") && !next.path.ends_with("=0"),
+        "{}",
+        next.path
+    );
+    for number in 0..8 {
+        assert_eq!(ask(&mixer, &format!("r{number}")), 200);
+    }
+    assert!(told.try_recv().is_err(), "nothing goes where nothing new may go");
+    drop(held);
+}
+
+/// A list of changes from before a drain does not take it back, not even until the whole list comes.
+#[test]
+fn changes_that_come_late_do_not_take_a_drain_back() {
+    let ((drains, told), (stays, _told)) = (searcher(good), searcher(good));
+    let (agent, both) = (Agent::default(), list(&[drains, stays]));
+    let mixer = mixer("older", agent.at(), &both, &[]);
+    let row = |word| {
+        format!(r#"{{"instanceId":"s0","hostPort":"{drains}","zone":"a","cell":0,"lifecycle":"{word}"}}"#)
+    };
+    let changes =
+        |version, word| format!(r#"{{"generation":{version},"reset":false,"instances":[{}]}}"#, row(word));
+    let call = agent.call().answer(&both).answer(&changes(9, "DRAINING")).answer(&changes(8, "SERVING"));
+    assert_eq!(call.path, "/v1/servers", "the whole list is asked for");
+    for number in 0..8 {
+        assert_eq!(ask(&mixer, &format!("r{number}")), 200);
+    }
+    assert!(told.try_recv().is_err());
+}
+
+/// Who is sent off to make room has begun to ask just then: its request stands unread.
+#[test]
+fn a_request_that_crosses_with_its_client_being_sent_off_is_answered() {
+    let (address, _told) = searcher(good);
+    let mixer = mixer(
+        "crosses",
+        agent(list(&[address])),
+        &list(&[address]),
+        &[("\"sockets\":256", "\"sockets\":64")],
+    );
+    let mut longest = mixer.client();
+    say(&mut longest, HEALTH);
+    answer(&mut longest);
+    std::thread::sleep(Duration::from_millis(150));
+    // Every place is taken, by none that is idle for as long.
+    let crowd: Vec<Client> = (0..24).map(|_| mixer.client()).collect();
+    mixer.signal("-STOP");
+    let newcomers: Vec<Client> = (0..3).map(|_| mixer.client()).collect();
+    say(&mut longest, scan("a", &[0]));
+    mixer.signal("-CONT");
+    let (status, head, _) = answer(&mut longest);
+    assert!(status == 200 && head.contains("Connection: close"), "{head}");
+    drop((crowd, newcomers));
+}
+
+/// Half a request at the last call, the rest after it: whoever stops the mixer waits for it no more.
+#[test]
+fn a_request_that_is_whole_after_the_last_call_is_turned_away_at_once() {
+    let (address, told) = searcher(mute);
+    let mut mixer = mixer("last", free_address(), &list(&[address]), &LONG);
+    let (mut half, mut other) = (mixer.client(), mixer.client());
+    let asked = patient("a");
+    let (begun, rest) = asked.split_at(60);
+    say(&mut half, begun);
+    say(&mut other, HEALTH);
+    answer(&mut other);
+    settle(&mixer);
+    mixer.signal("-TERM");
+    assert_eq!(other.read(&mut [0]).unwrap(), 0, "the stop has begun");
+    let mut late = mixer.client();
+    assert_eq!(late.read(&mut [0]).unwrap(), 0, "the last call has been");
+    say(&mut half, rest);
+    let (status, head, _) = answer(&mut half);
+    assert!(status == 503 && head.contains("Connection: close"), "{head}");
+    assert!(told.try_recv().is_err());
+    assert!(mixer.child.wait().unwrap().success());
+}
+
+/// An edit whose connection breaks under it is never sent again, and never called harmless; one whose link never came
+/// up is.
+#[test_case(true, 502; "once it may have run")]
+#[test_case(false, 503; "while it can't have run")]
+fn an_edit_is_called_harmless_to_ask_again_only_where_it_cannot_have_run(reached: bool, says: u16) {
+    let (address, told) = searcher(|letter, _| (letter != b'm').then(Vec::new));
+    let nobody = free_address();
+    let known = list(&[if reached { address } else { nobody }]);
+    let mixer = mixer(&format!("edit-{reached}"), free_address(), &known, &[]);
+    let mut client = mixer.client();
+    say(&mut client, scan_of("fix", "x", "e", &[0]));
+    let status = answer(&mut client).0;
+    assert_eq!(status == 503, says == 503, "{status}");
+    assert_eq!(told.try_iter().filter(|(letter, _)| *letter == b'm').count(), usize::from(reached));
+}
+
+/// Clients that leave while they wait: on the porch, behind much that they sent themselves, for a link that comes up
+/// late. Judged by the searcher's clock: none is sent on 0.3 s after its client has left.
+#[test]
+fn of_many_clients_that_leave_while_they_wait_none_is_sent_on_late() {
+    let (address, told) = searcher(mute);
+    let (listener, queue) = late_port();
+    let late = listener.local_addr().unwrap();
+    let row = |name: &str, at: SocketAddr, cell: u32| {
+        format!(
+            r#"{{"instanceId":"{name}","hostPort":"{at}","zone":"a","cell":{cell},"lifecycle":"SERVING"}}"#
+        )
+    };
+    let known = format!(
+        r#"{{"generation":1,"reset":true,"instances":[{},{}]}}"#,
+        row("s0", address, 0),
+        row("s1", late, 1)
+    );
+    let changes = [
+        ("\"cells\":1", "\"cells\":2"),
+        ("\"dial_timeout\":250000", "\"dial_timeout\":15000000"),
+        ("\"cancel\":true", "\"cancel\":false"),
+        LONG[0],
+        LONG[1],
+    ];
+    let mixer = mixer_within(32, "leavers", agent(known.clone()), &known, &changes);
+    let of_shard = |name: &str, shard: u32| scan(name, &[shard]).replace("X-Timeout: 4.0", "X-Timeout: 60.0");
+    let mut left: BTreeMap<String, Instant> = BTreeMap::new();
+    // For a link that is late.
+    for number in 0..10 {
+        let mut client = mixer.client();
+        say(&mut client, of_shard(&format!("late{number}"), 1));
+        settle(&mixer);
+        left.insert(format!("late{number}"), Instant::now());
+    }
+    // Behind much of their own.
+    for number in 0..3 {
+        let mut client = mixer.client();
+        let name = format!("deep{number}");
+        let behind = (0..150).map(|at| of_shard(&format!("{name}x{at}"), 0));
+        say(&mut client, of_shard(&name, 0) + &behind.collect::<String>());
+        while told.recv_timeout(PATIENCE).unwrap().1.split('.').next() != Some(&name) {}
+        left.extend((0..150).map(|at| (format!("{name}x{at}"), Instant::now())));
+    }
+    // On the porch: all places are taken by who waits for an answer.
+    let busy: Vec<Client> = (0..8)
+        .map(|number| {
+            let mut client = mixer.client();
+            say(&mut client, of_shard(&format!("busy{number}"), 0));
+            client
+        })
+        .collect();
+    while told.recv_timeout(PATIENCE).unwrap().1.split('.').next() != Some("busy7") {}
+    let mut client = mixer.client();
+    say(&mut client, of_shard("porch", 0));
+    drop(client);
+    left.insert("porch".into(), Instant::now());
+    drop(busy);
+    let (searcher, _) = (searcher_on(listener, good), drop(queue));
+    let mut marks = mixer.client();
+    say(&mut marks, of_shard("mark", 1));
+    assert_eq!(answer(&mut marks).0, 200);
+    say(&mut marks, of_shard("end", 0));
+    let (mut sent, mut sent_late) = (0, 0);
+    let frames = std::iter::from_fn(|| told.recv_timeout(PATIENCE).ok())
+        .take_while(|(_, rest)| !rest.starts_with("end."));
+    for (letter, rest) in frames.chain(before(&searcher, "mark")) {
+        let at = left.get(rest.split('.').next().unwrap_or_default());
+        let waited = at.filter(|_| letter == b'm').map(Instant::elapsed);
+        sent += usize::from(waited.is_some());
+        sent_late += usize::from(waited.is_some_and(|waited| waited > Duration::from_millis(300)));
+    }
+    println!("{} left while they waited, {sent} sent on, {sent_late} of them later than 0.3 s", left.len());
+    assert_eq!((sent, sent_late), (0, 0));
+}
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -72,3 +72,9 @@
 pub fn answer(from: &mut Client) -> (u16, String, String) {
     try_answer(from).expect("a whole answer")
 }
+
+/// Ends a connection by a reset, as a process that dies does.
+pub fn reset(client: Client) {
+    let socket = Socket::from(client.into_inner());
+    socket.set_linger(Some(Duration::ZERO)).expect("a socket that is there");
+}
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -2,7 +2,7 @@
 
 use crate::PATIENCE;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 
 pub fn list(searchers: &[SocketAddr]) -> String {
@@ -39,3 +39,57 @@
     });
     address
 }
+
+/// The agent in a test's own hands: each call is read and answered on its word.
+pub struct Agent(TcpListener);
+
+/// One connection to it, on which a call was read.
+pub struct Call {
+    pub path: String,
+    stream: TcpStream,
+}
+
+impl Default for Agent {
+    fn default() -> Self {
+        Self(TcpListener::bind("127.0.0.1:0").expect("a port on loopback"))
+    }
+}
+
+impl Agent {
+    pub fn at(&self) -> SocketAddr {
+        self.0.local_addr().expect("its address")
+    }
+
+    /// The first call of the next connection.
+    pub fn call(&self) -> Call {
+        let (stream, _) = self.0.accept().expect("somebody comes");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time above nothing");
+        Call { path: String::new(), stream }.heard().expect("a call")
+    }
+}
+
+impl Call {
+    fn heard(mut self) -> Option<Self> {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            self.stream.read_exact(&mut byte).ok()?;
+            head.push(byte[0]);
+        }
+        let head = String::from_utf8_lossy(&head);
+        self.path = head.split(' ').nth(1).unwrap_or_default().into();
+        Some(self)
+    }
+
+    /// Answers it, and reads the next one on this connection.
+    pub fn answer(mut self, body: &str) -> Self {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        self.stream.write_all((head + body).as_bytes()).expect("the mixer reads");
+        self.heard().expect("the next call follows at once")
+    }
+
+    pub fn reset(self) {
+        let socket = socket2::Socket::from(self.stream);
+        socket.set_linger(Some(std::time::Duration::ZERO)).expect("a socket that is there");
+    }
+}
--- a/crates/standins/src/searcher.rs
+++ b/crates/standins/src/searcher.rs
@@ -1,5 +1,6 @@
 //! A searcher: reads frames, answers them by its habit, and tells of each that it read.
 
+use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -76,3 +77,16 @@
         let _ = stream.write_all(&answer);
     }
 }
+
+/// A searcher's port behind which no further connection comes up: its queue is full of those given back with it.
+/// Whoever dials meanwhile is up once somebody accepts, as the system tries again within seconds.
+pub fn late_port() -> (TcpListener, Vec<TcpStream>) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port on loopback");
+    socket.listen(0).expect("it listens");
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().expect("its address");
+    let up = || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
+    let queue = std::iter::from_fn(up).take(8).collect();
+    (listener, queue)
+}
