--- a/crates/fronts/src/readings.rs
+++ b/crates/fronts/src/readings.rs
@@ -38,6 +38,14 @@
         self.0.get(path).filter(|v| !v.is_empty()).map_or(Ok(absent), |v| decimal(path, v))
     }
 
+    /// What nothing sensible stands in for, where it is missing: a number above nothing.
+    pub fn must_state(&self, path: &str) -> Result<(), Misread> {
+        let stated = self.number(path, 0.0)? > 0.0;
+        stated
+            .then_some(())
+            .ok_or_else(|| Misread(format!("settings: {path}: a number above 0 has to be stated")))
+    }
+
     pub fn span(&self, path: &str) -> Result<Span, Misread> {
         Ok(Span::of_micros(self.number(path, 0.0)? as u64))
     }
--- a/crates/mixer/src/routing/any_order.rs
+++ b/crates/mixer/src/routing/any_order.rs
@@ -390,9 +390,9 @@
                 self.part_back(link, usize::from(how), ends[usize::from(how % 4)], false);
             }
             // Spoilt: twice the same, or of nobody.
-            14 if how % 4 == 0 => self.part_back(link, usize::from(how), PartEnd::Honoured, true),
-            14 if std::mem::take(&mut wire.asked) => self.feed(Event::CheckBack(link, how % 2 == 0)),
-            14 if wire.up && !wire.ends => self.feed(Event::Amid(link, how % 2 == 0)),
+            14 if how.is_multiple_of(4) => self.part_back(link, usize::from(how), PartEnd::Honoured, true),
+            14 if std::mem::take(&mut wire.asked) => self.feed(Event::CheckBack(link, how.is_multiple_of(2))),
+            14 if wire.up && !wire.ends => self.feed(Event::Amid(link, how.is_multiple_of(2))),
             15 => {
                 let endings =
                     [Ending::Ended, Ending::Broke, Ending::Garbled, Ending::Objected, Ending::Stuck];
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -63,6 +63,15 @@
     })
 }
 
+/// What no deployment leaves out, and without which each scan would fail for no reason that anybody sees.
+fn has_what_it_needs(readings: &Readings) -> Result<(), Misread> {
+    let fixed =
+        ["tick", "limits.dial_timeout", "family_info.cells", "family_info.width", "family_info.slabs"];
+    fixed.into_iter().chain(["services.count"]).try_for_each(|path| readings.must_state(path))?;
+    let of = |at: usize| ["aim", "give_up"].map(|name| format!("services.{at}.{name}"));
+    (0..readings.names("services")?.len()).flat_map(of).try_for_each(|path| readings.must_state(&path))
+}
+
 impl State {
     pub fn new(
         readings: &Readings,
@@ -71,6 +80,7 @@
         operator: &Operator,
         name: &str,
     ) -> Result<Self, Misread> {
+        has_what_it_needs(readings)?;
         let types: Vec<_> = readings.names("services")?.into_iter().zip(readings.traffic_types()?).collect();
         if let Some((name, _)) = types.iter().find(|(_, kind)| kind.second_step) {
             return Err(Misread(format!("settings: {name}: a second step is not spoken on sockets")));
--- a/crates/mixer/src/transport/pump.rs
+++ b/crates/mixer/src/transport/pump.rs
@@ -188,6 +188,36 @@
     use std::net::{TcpListener, TcpStream};
     use std::ops::ControlFlow;
 
+    /// Whoever closed a line between its bytes' leaving the system and their being read once threw them away.
+    #[test]
+    fn what_was_taken_from_the_system_is_read_before_anybody_else_runs() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let stream = Async::new(listener.accept().unwrap().0).unwrap();
+        peer.write_all(&[7; 5]).unwrap();
+        let (line, read_so_far, over) = (Line::new(10), Cell::new(0), Cell::new(false));
+        let read = |inbox: &mut Inbox| {
+            read_so_far.set(read_so_far.get() + inbox.unread().len());
+            inbox.used(inbox.unread().len());
+            ControlFlow::<()>::Continue(())
+        };
+        let reader = async {
+            pump(&stream, &line, Inbox::new(4096), read, |_| ()).await;
+            over.set(true);
+        };
+        let other = async {
+            while !over.get() {
+                let taken = stream.get_ref().peek(&mut [0]).is_err();
+                assert!(!taken || read_so_far.get() == 5, "taken, and nobody has read it");
+                if taken {
+                    line.cut();
+                }
+                future::yield_now().await;
+            }
+        };
+        async_io::block_on(future::zip(reader, other));
+    }
+
     #[test]
     fn a_peer_that_never_pauses_lets_others_run() {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
