Calls to a silent agent take twice as long after each in vain, so that a slow one is heard

Seen: two of the fleet rig's tests ended with 'mixer never served'. With 35 of them at a time on a full machine the agent took longer than 200 ms, each call was dropped for the next, and no list was ever had. watch.rs: the time doubles after each try in vain, to 1.6 s.

--- a/crates/mixer/src/program/watch.rs
+++ b/crates/mixer/src/program/watch.rs
@@ -17,8 +17,8 @@
 const HELD: Duration = Duration::from_millis(2_500);
 /// How much longer an answer may take that is held.
 const LATE: Duration = Duration::from_millis(500);
-/// How long an answer may take that is not held. The agent stands on this machine and answers at once; with the
-/// module's pause before the next try it fits into the shortest grace for drains that a deployment has stated.
+/// How long an answer may take that is not held: the agent stands on this machine and answers at once. Twice as
+/// long after each try in vain, three times at most: on a machine that is overloaded none would ever be heard.
 const AT_ONCE: Duration = Duration::from_millis(200);
 
 /// A question: whom, for what is newer than a version, and whether the answer may be held until there is something.
@@ -49,7 +49,8 @@
 
 /// A further wish ends the call under way, whose answer could only be old.
 pub async fn keep(wishes: Rc<Wish>, handle: Handle) {
-    let mut silent = false;
+    // How many calls in a row brought nothing.
+    let mut silent: u32 = 0;
     let mut wish = wishes.next().await;
     let mut agent = Agent { at: wish.0, stream: None };
     loop {
@@ -58,20 +59,25 @@
             agent = Agent { at, stream: None };
         }
         let other = async { Err(wishes.next().await) };
-        let event = match future::or(other, async { Ok(agent.ask(after, waits).await) }).await {
+        let event = match future::or(other, async {
+            Ok(agent.ask(after, waits, AT_ONCE * (1 << silent.min(3))).await)
+        })
+        .await
+        {
             Err(other) => {
                 (agent.stream, wish) = (None, other);
                 continue;
             }
             Ok(Ok(news)) => {
-                if std::mem::take(&mut silent) {
+                if std::mem::take(&mut silent) > 0 {
                     log::info!("discovery answers again, version {}", news.version);
                 }
                 Event::Told(news)
             }
             Ok(Err(what)) => {
                 agent.stream = None;
-                if !std::mem::replace(&mut silent, true) {
+                silent = silent.saturating_add(1);
+                if silent == 1 {
                     log::warn!("discovery at {}: {what}; the last list stands", agent.at);
                 }
                 Event::WatchBroke
@@ -88,18 +94,18 @@
 }
 
 impl Agent {
-    async fn ask(&mut self, after: Option<u64>, waits: bool) -> Result<News, String> {
+    async fn ask(&mut self, after: Option<u64>, waits: bool, at_once: Duration) -> Result<News, String> {
         let held = if waits && after.is_some() { HELD } else { Duration::ZERO };
         let path = after.map_or_else(whole_path, |version| watch_path(version, held.as_millis() as u64));
-        let within = if held.is_zero() { AT_ONCE } else { held + LATE };
-        let answer = in_time(within, self.call(&path)).await;
+        let within = if held.is_zero() { at_once } else { held + LATE };
+        let answer = in_time(within, self.call(&path, at_once)).await;
         answer.unwrap_or_else(|| Err("no answer in time".into()))
     }
 
-    async fn call(&mut self, path: &str) -> Result<News, String> {
+    async fn call(&mut self, path: &str, at_once: Duration) -> Result<News, String> {
         let stream = match self.stream.take() {
             Some(kept) => kept,
-            None => dial(self.at, AT_ONCE).await.map_err(|e| e.to_string())?,
+            None => dial(self.at, at_once).await.map_err(|e| e.to_string())?,
         };
         let answer = self.exchange(&stream, path).await?;
         self.stream = Some(stream);
