--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 DAY ?= crates/standins/days/overload.json5
 SEED ?= 1
 
-.PHONY: build test lint run nodes run-dialect fleet fleet-days overload sums curve rollout-figures rollout-harm beside
+.PHONY: variants build test lint run nodes run-dialect fleet fleet-days overload sums curve rollout-figures rollout-harm beside
 
 build:
 	cargo build --release --locked --workspace
@@ -66,3 +66,7 @@
 rollout-harm: build
 	cargo build --locked -p fernglade-mixer -p fernglade-conductor
 	cargo test --locked -p fernglade-conductor --test rollout what_bad -- --include-ignored --nocapture
+
+# Lays what the operators' bench wants beside the sites of our own, from its kit: make variants KIT=/path/to/kit/more/mass/other
+variants:
+	install -m 644 $(KIT)/wire.json $(KIT)/real.json $(KIT)/unlock.txt deploy/sites/
