--- a/crates/mixer/src/program/identity.rs
+++ b/crates/mixer/src/program/identity.rs
@@ -8,6 +8,7 @@
 use std::net::IpAddr;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+#[derive(Default)]
 pub struct Identity {
     operator: Operator,
     program: String,
--- a/crates/mixer/src/program/links.rs
+++ b/crates/mixer/src/program/links.rs
@@ -2,8 +2,8 @@
 
 use super::handle::Handle;
 use crate::protocol::frames::{self, Errand, Frame, MOST_FRAME};
-use crate::protocol::http::{get, Reader};
-use crate::protocol::nodes;
+use crate::protocol::http::{get, Message, Reader};
+use crate::protocol::{nodes, MOST_BODY};
 use crate::routing::{CallId, Ending, Event, LinkId, Tongue};
 use crate::transport::{dial, is_short, pump, Inbox, Line, Stop, Stream};
 use async_io::Timer;
@@ -136,7 +136,7 @@
         Err(error) => not_up(&error),
         Ok(stream) => {
             handle.feed(Event::LinkUp(link));
-            let (mut amid, mut reader) = (false, Reader::default());
+            let (mut amid, mut reader) = (false, Reader::of_answers(MOST_BODY));
             let read = |inbox: &mut Inbox| {
                 let (flow, is_amid) = match near.tongue {
                     Tongue::Frames => {
@@ -160,7 +160,11 @@
                 }
             };
             match pump(&stream, &near.line, Inbox::new(4 + MOST_FRAME), read, gone).await {
-                Stop::Ended => Ending::Ended,
+                Stop::Ended => {
+                    // An answer of no length is whole now.
+                    let flow = reader.ended().map(|message| heard(&handle, link, &near, &message));
+                    flow.and_then(ControlFlow::break_value).unwrap_or(Ending::Ended)
+                }
                 Stop::Broke => Ending::Broke,
                 Stop::Closed => Ending::HungUp,
                 Stop::Halted(ending) => ending,
@@ -239,18 +243,24 @@
             }
         };
         let Some(message) = message else { return ControlFlow::Continue(()) };
-        let question = near.asked.borrow_mut().pop_front();
-        match question {
-            Some(Question::Part(id)) => {
-                let (end, value) = nodes::end(&message);
-                handle.feed(Event::PartBack { link, id, end, value });
-            }
-            Some(Question::Check) => handle.feed(Event::CheckBack(link, message.start[1] == "200")),
-            Some(Question::Version) => handle.feed(Event::Speaks(link, nodes::version(&message))),
-            None => return ControlFlow::Break(Ending::Garbled),
-        }
-        if !message.keeps() {
-            return ControlFlow::Break(Ending::Ended);
+        heard(handle, link, near, &message)?;
+    }
+}
+
+fn heard(handle: &Handle, link: LinkId, near: &Near, message: &Message) -> ControlFlow<Ending> {
+    let question = near.asked.borrow_mut().pop_front();
+    match question {
+        Some(Question::Part(id)) => {
+            let (end, value) = nodes::end(message);
+            handle.feed(Event::PartBack { link, id, end, value });
         }
+        Some(Question::Check) => handle.feed(Event::CheckBack(link, message.start[1] == "200")),
+        Some(Question::Version) => handle.feed(Event::Speaks(link, nodes::version(message))),
+        None => return ControlFlow::Break(Ending::Garbled),
+    }
+    if message.keeps() {
+        ControlFlow::Continue(())
+    } else {
+        ControlFlow::Break(Ending::Ended)
     }
 }
--- a/crates/mixer/src/program/watch.rs
+++ b/crates/mixer/src/program/watch.rs
@@ -21,6 +21,9 @@
 /// long after each try in vain, three times at most: on a machine that is overloaded none would ever be heard.
 const AT_ONCE: Duration = Duration::from_millis(200);
 
+/// A list may be long, and indented: some four hundred bytes a searcher, of which we may have thousands.
+const MOST_LIST: usize = 2 * 1024 * 1024;
+
 /// A question: whom, for what is newer than a version, and whether the answer may be held until there is something.
 type Asking = (SocketAddr, Option<u64>, bool);
 
@@ -107,15 +110,12 @@
             Some(kept) => kept,
             None => dial(self.at, at_once).await.map_err(|e| e.to_string())?,
         };
-        let answer = self.exchange(&stream, path).await?;
-        self.stream = Some(stream);
+        let (answer, stays) = self.exchange(&stream, path).await?;
+        self.stream = Some(stream).filter(|_| stays && answer.keeps());
         self.heard(answer)
     }
 
     fn heard(&mut self, answer: Message) -> Result<News, String> {
-        if !answer.keeps() {
-            self.stream = None;
-        }
         let [_, status, _] = &answer.start;
         if status != "200" {
             return Err(format!("status {status:.10}"));
@@ -123,18 +123,23 @@
         news(&Json::parse(&answer.body)?)
     }
 
-    async fn exchange(&self, mut stream: &Stream, path: &str) -> Result<Message, String> {
+    /// The answer, and whether its connection is still there after it. One that tells no length is whole where the
+    /// connection ends in order, and never where it breaks.
+    async fn exchange(&self, mut stream: &Stream, path: &str) -> Result<(Message, bool), String> {
         let failed = |e: std::io::Error| e.to_string();
         stream.write_all(&get(path, &self.at.to_string())).await.map_err(failed)?;
-        let (mut inbox, mut reader) = (Inbox::new(MOST_UNREAD), Reader::default());
+        let (mut inbox, mut reader) = (Inbox::new(MOST_UNREAD), Reader::of_answers(MOST_LIST));
         loop {
             let (used, message) = reader.read(inbox.unread()).map_err(|fault| format!("{fault:?}"))?;
             inbox.used(used);
             if let Some(message) = message {
-                return Ok(message);
+                return Ok((message, true));
             }
             match stream.read(inbox.space()).await.map_err(failed)? {
-                0 => return Err("it closed the connection".into()),
+                0 => {
+                    let whole = reader.ended().map(|message| (message, false));
+                    return whole.ok_or_else(|| "it closed the connection".into());
+                }
                 count => inbox.came(count),
             }
         }
--- a/crates/mixer/src/protocol/http.rs
+++ b/crates/mixer/src/protocol/http.rs
@@ -56,18 +56,44 @@
     Chunk(usize),
     ChunkEnd,
     Trailers(usize),
+    /// An answer that tells no length: it lasts until its sender ends the connection in order.
+    ToTheEnd,
 }
 
 /// Reads one message after another.
-#[derive(Default)]
 pub struct Reader {
     stage: Stage,
     message: Message,
     /// How far the head has been searched for its end.
     searched: usize,
+    /// What comes are answers: one may tell no length.
+    of_answers: bool,
+    /// What a body holds at most.
+    most: usize,
+}
+
+impl Default for Reader {
+    fn default() -> Self {
+        let (stage, message) = <(Stage, Message)>::default();
+        Self { stage, message, searched: 0, of_answers: false, most: MOST_BODY }
+    }
 }
 
 impl Reader {
+    pub fn of_answers(most: usize) -> Self {
+        Self { of_answers: true, most, ..Self::default() }
+    }
+
+    /// The other side has ended the connection in order, and all that came was read: the message that this makes
+    /// whole. A connection that breaks makes none whole, as nobody can tell what was still to come.
+    pub fn ended(&mut self) -> Option<Message> {
+        let whole = matches!(self.stage, Stage::ToTheEnd);
+        whole.then(|| {
+            self.stage = Stage::Head;
+            std::mem::take(&mut self.message)
+        })
+    }
+
     /// Whether a message has begun and is not whole. Bytes handed in and left unused count too.
     pub fn is_amid(&self, unread: &[u8]) -> bool {
         !matches!(self.stage, Stage::Head) || unread.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
@@ -112,6 +138,8 @@
                 _ => Err(Fault::Malformed("a chunk is longer than its size")),
             },
             Stage::Trailers(so_far) => self.trailer(bytes, so_far),
+            Stage::ToTheEnd if bytes.len() > self.most - self.message.body.len() => Err(Fault::BodyTooLong),
+            Stage::ToTheEnd => Ok((self.take(bytes, bytes.len()), false)),
         }
     }
 
@@ -138,7 +166,10 @@
             return Ok((0, false));
         };
         self.message = read_head(&bytes[..end])?;
-        self.stage = framing(&self.message)?;
+        self.stage = match framing(&self.message, self.most)? {
+            None if self.of_answers && has_body(&self.message) => Stage::ToTheEnd,
+            told => told.unwrap_or(Stage::Body(0)),
+        };
         Ok((end + 4, matches!(self.stage, Stage::Body(0))))
     }
 
@@ -150,7 +181,7 @@
         let digits = std::str::from_utf8(digits).ok().filter(|d| d.bytes().all(|b| b.is_ascii_hexdigit()));
         let size = digits.and_then(|digits| usize::from_str_radix(digits, 16).ok());
         let size = size.ok_or(Fault::Malformed("a chunk's size is not a number"))?;
-        if size > MOST_BODY - self.message.body.len() {
+        if size > self.most - self.message.body.len() {
             return Err(Fault::BodyTooLong);
         }
         self.stage = if size == 0 { Stage::Trailers(0) } else { Stage::Chunk(size) };
@@ -197,15 +228,21 @@
     Ok(Message { start: [a.into(), b.into(), c.into()], headers, body: Vec::new() })
 }
 
-/// How the body's end is told; a message that tells it in two ways may be read differently by others.
-fn framing(message: &Message) -> Result<Stage, Fault> {
+/// Whether an answer of this status has a body, whose end may then be that of its connection.
+fn has_body(answer: &Message) -> bool {
+    let status = answer.start[1].as_str();
+    !(status.starts_with('1') || matches!(status, "204" | "304"))
+}
+
+/// How the body's end is told, if it is; a message that tells it in two ways may be read differently by others.
+fn framing(message: &Message, most: usize) -> Result<Option<Stage>, Fault> {
     let all = |name: &'static str| message.headers.iter().filter(move |(known, _)| known == name);
     let mut lengths = all("content-length").map(|(_, value)| value);
     let mut codings = all("transfer-encoding").map(|(_, value)| value);
     match (lengths.next(), codings.next()) {
-        (None, None) => Ok(Stage::Body(0)),
+        (None, None) => Ok(None),
         (None, Some(coding)) if coding.eq_ignore_ascii_case("chunked") && codings.next().is_none() => {
-            Ok(Stage::ChunkLine)
+            Ok(Some(Stage::ChunkLine))
         }
         (None, Some(_)) => Err(Fault::Malformed("an unknown transfer coding")),
         (Some(_), Some(_)) => Err(Fault::Malformed("both a length and a transfer coding")),
@@ -214,8 +251,8 @@
             if !digits || lengths.any(|other| other != length) {
                 return Err(Fault::Malformed("the length is not a number"));
             }
-            let length = length.parse().ok().filter(|length| *length <= MOST_BODY);
-            length.map(Stage::Body).ok_or(Fault::BodyTooLong)
+            let length = length.parse().ok().filter(|length| *length <= most);
+            length.map(|length| Some(Stage::Body(length))).ok_or(Fault::BodyTooLong)
         }
     }
 }
@@ -326,6 +363,22 @@
         assert_eq!(whole(chunked.as_bytes()), Err(Fault::BodyTooLong));
     }
 
+    const OPEN: &[u8] = b"HTTP/1.1 200 OK\r\n\r\nhello";
+
+    #[test_case(OPEN, Some(b"hello"); "no length")]
+    #[test_case(b"HTTP/1.1 204 No Content\r\n\r\n", None; "no body")]
+    #[test_case(&LENGTH[..LENGTH.len() - 1], None; "a length that is not reached")]
+    #[test_case(b"HTTP/1.1 200 OK\r\nTransfer-Enc", None; "half a head")]
+    fn an_answer_of_no_length_is_whole_at_its_connections_end(bytes: &[u8], says: Option<&[u8]>) {
+        let mut reader = Reader::of_answers(MOST_BODY);
+        let whole = reader.read(bytes).unwrap().1;
+        assert_eq!(whole.is_some(), bytes.starts_with(b"HTTP/1.1 204"));
+        assert_eq!(reader.ended().map(|message| message.body).as_deref(), says);
+        assert_eq!(Reader::default().read(OPEN).map(|(_, message)| message.is_some()), Ok(true), "a request");
+        let long = [OPEN, &[b'x'; MOST_BODY]].concat();
+        assert_eq!(Reader::of_answers(MOST_BODY).read(&long), Err(Fault::BodyTooLong));
+    }
+
     #[test]
     fn a_response_is_read_back() {
         let bytes = response(503, &[("Retry-After", "0.500")], "{}", true);
--- a/crates/mixer/src/transport/pump.rs
+++ b/crates/mixer/src/transport/pump.rs
@@ -184,7 +184,7 @@
     use async_io::Async;
     use futures_lite::future;
     use std::cell::Cell;
-    use std::io::Write;
+    use std::io::{Read, Write};
     use std::net::{TcpListener, TcpStream};
     use std::ops::ControlFlow;
 
@@ -218,6 +218,31 @@
         async_io::block_on(future::zip(reader, other));
     }
 
+    /// Nothing is owed to it, but its place is wanted back.
+    #[test]
+    fn a_peer_that_goes_with_its_answer_half_written_ends_the_line() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let stream = Async::new(listener.accept().unwrap().0).unwrap();
+        // More than the system takes of either side.
+        let (answer, line) = (vec![7; 32 << 20], Line::new(33 << 20));
+        assert!(line.outbox.push(1, answer));
+        let (written, over) = (Cell::new(false), Cell::new(None));
+        let writer = async {
+            let read = |_: &mut Inbox| ControlFlow::<()>::Continue(());
+            let stop = pump(&stream, &line, Inbox::new(4096), read, |_| written.set(true)).await;
+            over.set(Some(matches!(stop, Stop::Ended | Stop::Broke)));
+        };
+        let reader = async {
+            let mut some = [0; 1000];
+            while peer.read(&mut some).unwrap() == 0 {}
+            assert!(!written.get(), "it is half written");
+            drop(peer);
+        };
+        async_io::block_on(future::zip(writer, reader));
+        assert_eq!((written.get(), over.get()), (false, Some(true)));
+    }
+
     #[test]
     fn a_peer_that_never_pauses_lets_others_run() {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/mixer/tests/dialect.rs
+++ b/crates/mixer/tests/dialect.rs
@@ -206,6 +206,7 @@
 #[test_case(Way::ResetsAfter; "a connection that ends")]
 #[test_case(Way::ResetsAmid; "an answer that ends amid")]
 #[test_case(Way::Endless; "chunks without end")]
+#[test_case(Way::Open { resets: true }; "an answer of no length that is reset")]
 fn a_failing_node_is_a_failed_part(way: Way) {
     let name: String = format!("{way:?}").chars().filter(char::is_ascii_alphanumeric).collect();
     let (mixer, _told) = before_nodes(&name, &[way, SOUND, SOUND]);
@@ -241,6 +242,8 @@
 #[test_case(Way::ResetsAfter, 502; "after its last byte")]
 #[test_case(Way::ResetsAmid, 502; "amid the answer")]
 #[test_case(Way::Answers(Manner::Sound), 200; "saved")]
+#[test_case(Way::Open { resets: false }, 200; "saved, and no length told")]
+#[test_case(Way::Open { resets: true }, 502; "no length told, and reset")]
 #[test_case(Way::Status(503), 502; "an error that may have come late")]
 #[test_case(Way::Full, 429; "none took it: it has not run")]
 fn an_edit_is_sent_once_to_nodes_unless_it_never_ran(way: Way, status: u16) {
--- a/crates/mixer/tests/ends.rs
+++ b/crates/mixer/tests/ends.rs
@@ -193,6 +193,23 @@
     drop(held);
 }
 
+/// An answer of no length is whole where its connection ends in order, and never where it is reset.
+#[test_case(false, "/v1/servers?after=2&wait_ms=2500"; "ended")]
+#[test_case(true, "/v1/servers?after=1&wait_ms=0"; "reset")]
+fn an_answer_of_discovery_that_tells_no_length(resets: bool, next: &str) {
+    let (address, _told) = searcher(good);
+    let (agent, known) = (Agent::default(), list(&[address]));
+    let pushed = [("\"tick\"", "\"discovery\":\"pushed\",\"tick\"")];
+    let _mixer = mixer(&format!("open-{resets}"), agent.at(), &known, &pushed);
+    let watch = agent.call().answer(&known).answer_open(r#"{"generation":2,"reset":false,"instances":[]}"#);
+    if resets {
+        watch.reset();
+    } else {
+        drop(watch);
+    }
+    assert_eq!(agent.call().path, next);
+}
+
 /// A list of changes from before a drain does not take it back, not even until the whole list comes.
 #[test]
 fn changes_that_come_late_do_not_take_a_drain_back() {
@@ -259,6 +276,30 @@
     assert!(mixer.child.wait().unwrap().success());
 }
 
+/// Who stands in the listener's queue as the door is shut was taken in by the system: a request of theirs is answered.
+#[test]
+fn those_in_the_queue_of_a_listener_that_is_shut_are_answered() {
+    let (address, _told) = searcher(good);
+    let mut mixer = mixer("queue", free_address(), &list(&[address]), &[]);
+    let mut idle = mixer.client();
+    say(&mut idle, HEALTH);
+    answer(&mut idle);
+    std::thread::sleep(Duration::from_millis(150));
+    mixer.signal("-TERM");
+    assert_eq!(idle.read(&mut [0]).unwrap(), 0, "the stop has begun");
+    mixer.signal("-STOP");
+    let mut queued: Vec<Client> = (0..5).map(|_| mixer.client()).collect();
+    queued.iter_mut().zip(0..).for_each(|(client, at)| say(client, scan(&format!("q{at}"), &[0])));
+    // Until the door is long overdue to be shut.
+    std::thread::sleep(Duration::from_millis(900));
+    mixer.signal("-CONT");
+    for client in &mut queued {
+        let (status, head, _) = answer(client);
+        assert!(matches!(status, 200 | 503) && head.contains("Connection: close"), "{head}");
+    }
+    assert!(mixer.child.wait().unwrap().success());
+}
+
 /// An edit whose connection breaks under it is never sent again, and never called harmless; one whose link never came
 /// up is.
 #[test_case(true, 502; "once it may have run")]
--- a/crates/mixer/tests/fleet.rs
+++ b/crates/mixer/tests/fleet.rs
@@ -6,7 +6,8 @@
 use fernglade_standins::discovery::{agent, list};
 use fernglade_standins::fleet::{play, Breach, Day, Figures};
 use fernglade_standins::searcher::{good, searcher};
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::sync::OnceLock;
 use test_case::test_case;
 
 fn day(troubles: &str, mixers: &str) -> Day {
@@ -33,9 +34,10 @@
     (played.figures, played.breaches)
 }
 
-/// An operator's file in which the fleet sheds as one.
-fn as_one() -> std::path::PathBuf {
-    file("as-one.json5", "{ shedding: { as_one: true } }")
+/// An operator's file in which the fleet sheds as one. Written once: a mixer of another day may be reading it.
+fn as_one() -> &'static Path {
+    static FILE: OnceLock<PathBuf> = OnceLock::new();
+    FILE.get_or_init(|| file("as-one.json5", "{ shedding: { as_one: true } }"))
 }
 
 /// What each trouble may cost at the most is wide: a machine that builds at the same time is slow.
@@ -141,7 +143,7 @@
     mixers: &str,
     least: f64,
 ) {
-    let (figures, breaches) = played_by(&heavy(load, troubles, mixers), 21, Some(&as_one()));
+    let (figures, breaches) = played_by(&heavy(load, troubles, mixers), 21, Some(as_one()));
     assert!(breaches.is_empty(), "{breaches:#?}\n{figures}");
     let whole = figures.whole();
     assert!(whole.share() >= least, "{figures}");
@@ -155,7 +157,7 @@
 fn shed_as_one_the_fleet_comes_back_by_itself_after_a_burst() {
     let mut day = heavy(0.7, "{ what: 'burst', at: '2s', lasts: '2s', times: 7 }", "{ count: 4 }");
     day.lasts = std::time::Duration::from_secs(11);
-    let (figures, breaches) = played_by(&day, 22, Some(&as_one()));
+    let (figures, breaches) = played_by(&day, 22, Some(as_one()));
     assert!(breaches.is_empty(), "{breaches:#?}\n{figures}");
     let (burst, after) = (figures.between(2, 4), figures.between(8, 11));
     assert!(burst.share() <= 0.7, "it is more than can be done: {figures}");
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -88,6 +88,13 @@
         self.heard().expect("the next call follows at once")
     }
 
+    /// Begins an answer that tells no length; its end is the connection's.
+    pub fn answer_open(mut self, body: &str) -> Self {
+        self.stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").expect("the mixer reads");
+        self.stream.write_all(body.as_bytes()).expect("the mixer reads");
+        self
+    }
+
     pub fn reset(self) {
         let socket = socket2::Socket::from(self.stream);
         socket.set_linger(Some(std::time::Duration::ZERO)).expect("a socket that is there");
--- a/crates/standins/src/fleet/herd.rs
+++ b/crates/standins/src/fleet/herd.rs
@@ -25,7 +25,7 @@
 
 impl Drop for Herd {
     fn drop(&mut self) {
-        (0..self.children.len()).for_each(|mixer| self.kill(mixer));
+        self.kill_all();
         self.files.iter().for_each(|path| drop(std::fs::remove_file(path)));
     }
 }
@@ -108,7 +108,12 @@
         );
         let program = self.beside.as_ref().filter(|_| mixer % 2 == 1).unwrap_or(&self.program);
         let mut command = Command::new(program);
-        command.env_clear().env("ROUTER_CONFIG", &path).env("RUST_LOG", "warn").stdin(Stdio::null());
+        command
+            .env_clear()
+            .env("ROUTER_CONFIG", &path)
+            .env("RUST_LOG", "warn")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null());
         if let Some(file) = self.copies.get(mixer).or(self.operator.as_ref()) {
             command.arg("--operator").arg(file);
         }
@@ -120,6 +125,10 @@
         Ok(())
     }
 
+    pub fn kill_all(&mut self) {
+        (0..self.children.len()).for_each(|mixer| self.kill(mixer));
+    }
+
     pub fn kill(&mut self, mixer: usize) {
         if let Some(mut child) = self.children[mixer].take() {
             let _ = child.kill();
--- a/crates/standins/src/fleet/play.rs
+++ b/crates/standins/src/fleet/play.rs
@@ -296,6 +296,7 @@
         let task = agent::listen(world.clone(), mixer, listener);
         world.spawn(async move { drop(task.await) });
     }
+    let ends = Ends(world.clone());
     for mixer in 0..mixers {
         world.start_mixer(mixer, 0)?;
     }
@@ -332,11 +333,20 @@
         // Who was started by another is ended by the number that it tells of itself.
         world.doors.iter().for_each(|at| end_stranger(*at));
     }
-    (0..mixers).for_each(|mixer| world.herd.borrow_mut().kill(mixer));
+    drop(ends);
     let conducted = beside.borrow().clone();
     Ok((trace, conducted))
 }
 
+/// Ends the mixers with their day, however that ends: the world's tasks hold the world, which is never dropped.
+struct Ends(Rc<World>);
+
+impl Drop for Ends {
+    fn drop(&mut self) {
+        self.0.herd.borrow_mut().kill_all();
+    }
+}
+
 /// Runs a program beside the day, and notes how it ended.
 async fn stand_by(world: Rc<World>, mut command: Command, beside: Rc<RefCell<Conducted>>) {
     let path = file(&format!("beside-{}.txt", world.doors[0]), "");
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -4,6 +4,7 @@
 use fernglade_dialect::endpoint::{endpoint, preferred, Endpoint};
 use fernglade_dialect::search::Search;
 use serde_json::json;
+use socket2::Socket;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -28,6 +29,10 @@
     Mute,
     /// One answer a connection.
     Closes,
+    /// The same with no length told: it ends where the connection does, in order or by a reset.
+    Open {
+        resets: bool,
+    },
 }
 
 /// What it was asked: method, target, head and body.
@@ -81,6 +86,12 @@
                 let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", whole.len());
                 return to.write_all((head + &whole[..whole.len() / 2]).as_bytes()).ok();
             }
+            Way::Open { resets } => {
+                let head = "HTTP/1.1 200 OK\r\n\r\n".to_string();
+                to.write_all((head + &answer(Manner::Sound)?).as_bytes()).ok()?;
+                let socket = Socket::from(asks.into_inner());
+                return socket.set_linger(resets.then_some(Duration::ZERO)).ok();
+            }
             Way::Endless => {
                 to.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
                 for _ in 0..2_000 {
