--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -489,7 +489,9 @@
             assert!(told.starts_with("HTTP/1.1 503 "), "{told}");
             drop(client);
         };
-        let both = async { drop(future::zip(ends, fetches).await) };
+        let both = async {
+            future::zip(ends, fetches).await;
+        };
         async_io::block_on(future::or(both, tell_all(clients.clone())));
         assert!(over.get());
     }
--- a/crates/mixer/tests/fleet.rs
+++ b/crates/mixer/tests/fleet.rs
@@ -183,9 +183,10 @@
 }
 
 /// An operator's file in which all mixers together keep to sums, and checks pass by the queue.
-fn in_sum() -> std::path::PathBuf {
-    let sums = "fleet: { relays_in_sum: true, asks_in_sum: true }";
-    file("in-sum.json5", &format!("{{ {sums}, searchers: {{ checks_beside_queue: true }} }}"))
+fn in_sum() -> &'static Path {
+    static FILE: OnceLock<PathBuf> = OnceLock::new();
+    let sums = "fleet: { relays_in_sum: true, asks_in_sum: true }, searchers: { checks_beside_queue: true }";
+    FILE.get_or_init(|| file("in-sum.json5", &format!("{{ {sums} }}")))
 }
 
 /// One of eighteen searchers falls silent, checks too. Six mixers ask it in turns: each once as it finds it by a late part,
@@ -200,7 +201,7 @@
           types: [{{ name: "look", rate: 30, parts: 12, work: "5ms", quoted: "600ms", abandon: "1500ms", repeat: "redoable" }}],
           troubles: [{{ what: 'hang', at: '1s', lasts: '13s', searchers: [7] }}] }}"#
     );
-    let (figures, breaches) = played_by(&Day::read(&text).unwrap(), 41, Some(&in_sum()));
+    let (figures, breaches) = played_by(&Day::read(&text).unwrap(), 41, Some(in_sum()));
     assert!(breaches.is_empty(), "{breaches:#?}\n{figures}");
     assert!(figures.whole().sent_over_asked() <= 1.2, "{figures}");
     let asked: Vec<usize> = (4..14).map(|s| figures.most(&[7], s..s + 1, |load| load.checks)).collect();
@@ -215,7 +216,7 @@
 #[test_case("{ count: 4, told: 8 }", "{ what: 'cut', at: '2s', lasts: '2s', mixers: [0, 1], searchers: [1, 4] }, { what: 'cut', at: '2s', lasts: '2s', mixers: [2, 3], searchers: [2, 5] },"; "told twice, in a partition")]
 fn what_says_later_to_all_is_not_thrown_at_its_neighbours(mixers: &str, more: &str) {
     let trouble = format!("{more} {{ what: 'full', at: '2s', lasts: '3s', searchers: [0, 3, 6] }}");
-    let (figures, breaches) = played_by(&day(&trouble, mixers), 42, Some(&in_sum()));
+    let (figures, breaches) = played_by(&day(&trouble, mixers), 42, Some(in_sum()));
     assert!(breaches.is_empty(), "{breaches:#?}\n{figures}");
     let whole = figures.whole();
     // A fifth of what was asked for, and of all three cells the few that time earns in ten seconds, twice over at half.
