Idle connections are doubted only where new ones fare better; a failed connection is a failure

Lines at fault: `vain[0]` alone as what idle connections are held against; `vain[pause]` updated for its own class only; `Landing::Unreached` without any effect on the choice once a check has passed.

Change: what goes on new connections has a share of its own (those opened for doubt, those idle longer than `limits.idle_close`, and whatever could not connect), and doubt asks for a quarter more than that as well; a loss casts doubt on pauses down to a quarter as long and an answer clears all shorter ones; a connection that fails counts among its searcher's failures (mechanism 1).

--- a/crates/fronts/src/readings.rs
+++ b/crates/fronts/src/readings.rs
@@ -136,6 +136,8 @@
             self.yes("limits.may_probe"),
             cold,
         );
+        let idle = self.span("limits.idle_close")?;
+        let roster = if idle > Span::ZERO { roster.closing_idle(idle) } else { roster };
         let share = self.number("invariants.further_ratio", -1.0)?;
         let few = self.number("invariants.free_resends", 0.0)?;
         let window = self.span("invariants.resend_span")?;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -160,17 +160,22 @@
     }
 }
 
-/// A relay under way; `pause` is how long nothing had come over its connection, by class.
+/// A relay under way; `pause` is how long nothing had come over its connection, by class; `stale` where that
+/// was shut for it.
 struct Leg {
     to: Searcher,
     left: Moment,
     pause: usize,
+    stale: bool,
     sort: Sort,
 }
 
 /// How often a searcher that is down is checked: the design page's figure.
 const CHECK_EVERY: Span = Span::of_millis(5_000);
 
+/// Where the share of what went on connections opened anew stands among those by pause.
+const ANEW: usize = 7;
+
 /// The searchers and what this mixer has seen of them.
 #[derive(Default)]
 pub struct Roster {
@@ -193,15 +198,23 @@
     lost: f64,
     /// The shortest that the smoothed time has been of late: what a part is taken to cost, with little queue.
     shortest: f64,
-    /// The share of relays lost or in vain, by how long nothing came: under 250 ms, then twice each time.
-    vain: [f64; 8],
+    /// The share of relays lost or in vain, by how long nothing came: under 250 ms, then twice each time;
+    /// last, of those on new connections, opened for doubt of the old or as those are closed by then.
+    vain: [f64; ANEW + 1],
+    idle_close: Span,
     trial: Moment,
 }
 
 impl Roster {
     pub fn new(seed: u64, cells: u32, width: u32, per_call: usize, may_check: bool, cold: ColdCare) -> Self {
-        let (cells, chance) = (cells.max(1), Chance::new(seed));
-        Self { cells, width, per_call, may_check, cold, chance, ..Self::default() }
+        let (cells, chance, never) = (cells.max(1), Chance::new(seed), Span::of_micros(u64::MAX));
+        Self { cells, width, per_call, may_check, cold, chance, idle_close: never, ..Self::default() }
+    }
+
+    /// Connections idle for so long are closed by the platform, and the next part goes on a new one.
+    pub fn closing_idle(mut self, after: Span) -> Self {
+        self.idle_close = after;
+        self
     }
 
     fn average(&self) -> f64 {
@@ -362,18 +375,22 @@
     }
 
     /// Notes a relay, and tells whether its connection is to be trusted no more: relays after such pauses or
-    /// less are lost oftener by a quarter than those after none. Against all that closes idle ones unseen:
-    /// they are shut before use, but for a trial in a check interval. Hurts by needless new ones.
-    fn note_sent(&mut self, now: Moment, searcher: Searcher, sort: Sort) -> (Leg, bool) {
+    /// less are lost oftener by a quarter than those after none, and oftener than on new ones. Against all
+    /// that closes idle ones unseen: they are shut before use, but for a trial in a check interval. Where new
+    /// ones fail as well, on ways or at searchers too slow for them, what is there is kept: what looks lost
+    /// is then late. Hurts by needless new ones.
+    fn note_sent(&mut self, now: Moment, searcher: Searcher, sort: Sort) -> Leg {
         let seat = self.seats.entry(searcher).or_default();
-        let quarters = now.since(seat.stood).micros() / 250_000;
-        let pause = (u64::BITS - quarters.leading_zeros()).min(7) as usize;
+        let idle = now.since(seat.stood);
+        let doubling = (u64::BITS - (idle.micros() / 250_000).leading_zeros()) as usize;
+        let pause = if idle >= self.idle_close { ANEW } else { doubling.min(ANEW - 1) };
         seat.out.push(now);
         seat.sent = now;
-        let doubted = self.vain[1..=pause].iter().any(|share| *share > self.vain[0] + 0.25);
+        let worst = self.vain[1..=pause.min(ANEW - 1)].iter().copied().fold(0.0, f64::max);
+        let doubted = worst > self.vain[0].max(self.vain[ANEW]) + 0.25;
         let stale = doubted && now.since(self.trial) < CHECK_EVERY;
         self.trial = if doubted && !stale { now } else { self.trial };
-        (Leg { to: searcher, left: now, pause: if stale { 0 } else { pause }, sort }, stale)
+        Leg { to: searcher, left: now, pause: if stale { ANEW } else { pause }, stale, sort }
     }
 
     /// What a relay's end tells of its searcher, and whether that seems to have died under the part. A part
@@ -395,11 +412,20 @@
         let alone = in_vain && seat.passed > leg.left && took > 8.0 * seat.latency.unwrap_or(average);
         if back || lost {
             self.lost += (f64::from(lost) - self.lost) * 0.05;
-            self.vain[pause] += (f64::from(lost) - self.vain[pause]) / 8.0;
+        }
+        // Nobody says after what pause connections are closed. So a loss casts doubt on pauses down to a
+        // quarter as long, and an answer clears all shorter ones: else each class costs a scan of its own.
+        let class = if how == Landing::Unreached { ANEW } else { pause };
+        if back || lost || how == Landing::Unreached {
+            let shorter = if lost { class.saturating_sub(2).max(1) } else { 1 };
+            let least = if class == ANEW { ANEW } else { shorter.min(class) };
+            let shares = &mut self.vain[least..=class];
+            shares.iter_mut().for_each(|share| *share += (f64::from(!back) - *share) / 8.0);
         }
         // Dropped as soon as it was used again (a twentieth of the least that a part takes), it had been
         // closed before: that says nothing of the searcher. And who is not listed any more may well go down.
-        let closed = how == Landing::Dropped && pause > 0 && took * 20.0 < self.shortest;
+        let unseen = pause > 0 && !leg.stale && took * 20.0 < self.shortest;
+        let closed = how == Landing::Dropped && unseen;
         let died = how == Landing::Dropped && !closed && seat.told.ready;
         // It answers what was sent after the loss, and has not started since: its connection broke, no more.
         let lives = |at: &Moment| back && leg.left > *at && seat.fresh.is_none_or(|(since, _)| since < *at);
@@ -415,6 +441,7 @@
                 self.shortest = (self.shortest * 1.0005).min(self.typical);
             }
             Landing::TurnedAway => self.learn(now, from, kind, Some(leg.sort.1.as_f64()), true),
+            Landing::Unreached => self.learn(now, from, kind, None, true),
             _ if lost || back => self.learn(now, from, kind, Some(took).filter(|_| in_vain && !alone), true),
             _ => {}
         }
@@ -522,10 +549,11 @@
         mixer
     }
 
-    /// Keeps the list watched, which broke so often since it was last heard. Where changes are pushed to an agent
-    /// at hand, what that has counts as told: it is asked anew at once, then by quarters of the drains' grace, so
-    /// that a try in vain and the next fit in it; against all that comes between a break and the next word. Hurts
-    /// an agent that is down by a call each time. Where all ask one service each has a pause of its own.
+    /// Keeps the list watched, which broke so often since it was last heard. Where changes are pushed to an
+    /// agent at hand, what that has counts as told: it is asked anew at once, then by quarters of the drains'
+    /// grace, so that a try in vain and the next fit in it; against all that comes between a break and the
+    /// next word. Hurts an agent that is down by a call each time. Where all ask one service each has its own
+    /// pause.
     pub fn watch(&mut self, host: &mut dyn Host, broke: u32) {
         let pause = match (broke, self.pushed) {
             (0, _) | (1, Some(_)) => Span::ZERO,
@@ -685,10 +713,10 @@
         let Some(scan) = self.scans.get_mut(&id) else { return };
         let (part, sort) = (&mut scan.parts[at], (scan.traffic_type, self.types[scan.traffic_type].quoted));
         let ran_before = part.may_have_run;
-        let (leg, stale) = self.roster.note_sent(now, to, sort);
+        let leg = self.roster.note_sent(now, to, sort);
         let cell = part.taken.shard % self.roster.cells;
         self.roster.flows.entry(cell).or_default().note(now);
-        if stale {
+        if leg.stale {
             host.hang_up(to);
         }
         let relay = Ticket(self.landings.insert(Box::new(move |mixer, host, (how, took)| {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -379,6 +379,76 @@
     assert_eq!(story.host.hung_up.len(), shut, "not where it lay idle for less");
 }
 
+/// Connections that lay idle for three seconds were lost, seven times.
+fn doubting() -> Story {
+    let mut story = story(whole_only());
+    story.settle_in(100);
+    for _ in 0..7 {
+        story.pass(3000);
+        let id = story.scan(1);
+        story.pass(1900);
+        story.land_all(id, Landing::Silent);
+        story.land_all(id, Landing::Honoured);
+        story.settle_in(100);
+    }
+    story
+}
+
+/// From when on idle connections are closed is not known: each class of pauses once cost a scan of its own.
+#[test_case(800, true; "a quarter as long")]
+#[test_case(300, false; "much shorter")]
+fn a_loss_after_a_pause_casts_doubt_on_shorter_ones(pause: u64, doubted: bool) {
+    let mut story = doubting();
+    let before = story.host.hung_up.len();
+    story.pass(pause);
+    story.scan(3);
+    assert_eq!(story.host.hung_up.len() >= before + 2, doubted);
+}
+
+/// Over a way on which answers come late and new connections hardly come up, all was shut for nothing, and then
+/// nobody could be reached.
+#[test]
+fn connections_are_kept_where_new_ones_fail() {
+    let mut story = doubting();
+    for _ in 0..5 {
+        let id = story.scan(3);
+        let lost = story.out(id)[0];
+        story.land(lost, Landing::Unreached);
+        story.pass(100);
+        story.land_all(id, Landing::Honoured);
+        story.pass(5000);
+        story.mixer.checked(&mut story.host, Searcher(lost.to), true);
+        story.settle_in(100);
+    }
+    let before = story.host.hung_up.len();
+    for _ in 0..3 {
+        story.pass(3000);
+        let id = story.scan(3);
+        assert_eq!(story.host.hung_up.len(), before);
+        story.pass(100);
+        story.land_all(id, Landing::Honoured);
+    }
+}
+
+/// Its checks pass, and no connection comes up: it drew the next parts as one that has just started.
+#[test]
+fn a_searcher_to_which_a_connection_failed_draws_fewer_parts_though_its_check_passes() {
+    let mut story = story(whole_only());
+    let lost = lose_one(&mut story);
+    let mut met = 0;
+    for _ in 0..12 {
+        story.pass(5000);
+        story.mixer.checked(&mut story.host, Searcher(lost.to), true);
+        let id = story.scan(2);
+        let again: Vec<_> = story.out(id).into_iter().filter(|relay| relay.to == lost.to).collect();
+        met += again.len();
+        again.into_iter().for_each(|relay| story.land(relay, Landing::Unreached));
+        story.pass(150);
+        story.land_all(id, Landing::Honoured);
+    }
+    assert!((1..=4).contains(&met), "{met} of 12");
+}
+
 /// Some scans bring down each searcher that begins a part of them.
 #[test]
 fn a_scan_under_whose_parts_two_searchers_died_is_carried_no_further() {
