--- a/crates/mixer/tests/sockets.rs
+++ b/crates/mixer/tests/sockets.rs
@@ -2,7 +2,7 @@
 //! comes, and in which order; the time-outs only keep a failure from hanging.
 
 use fernglade_standins::child::{file, free_address, orders};
-use fernglade_standins::client::{answer, say, scan, scan_for};
+use fernglade_standins::client::{answer, say, scan, scan_for, scan_of};
 use fernglade_standins::discovery::{agent, agent_saying, list};
 use fernglade_standins::searcher::{dying, garbled, good, mute, searcher, slow, Habit};
 use fernglade_standins::PATIENCE;
@@ -282,3 +282,35 @@
     let line = String::from_utf8(output.stderr).unwrap();
     assert!(!output.status.success() && line.contains(says) && line.lines().count() == 1, "{line}");
 }
+
+/// Settings as the operators who joined have them: it serves, and an edit goes out once.
+#[test_case("\"may_probe\":true", "\"may_probe\":true,\"may_duplicate\":false"; "no second copies")]
+#[test_case("\"customers\":[{\"name\":\"acme\",\"quota_per_s\":1000}],", ""; "no customers")]
+#[test_case("\"per_call\":1", "\"per_call\":8,\"call_cost\":46000"; "calls of several parts that cost")]
+#[test_case("\"tick\":5000", "\"tick\":5000,\"weights\":\"none\",\"report\":{\"how\":\"probe\",\"columns\":[\"depth\"]}"; "no weights, load told to probes only")]
+#[test_case("\"multiplex\":32", "\"multiplex\":32,\"idle_close\":15000000"; "idle connections are closed")]
+fn it_serves_with_settings_of_another_operator(from: &str, to: &str) {
+    let (address, told) = searcher(good);
+    let (at, known) = (free_address(), list(&[address]));
+    let text = orders(&at.to_string(), free_address(), &known);
+    assert!(text.contains(from));
+    let name = format!("joined-{}", address.port());
+    let mixer = start(at, orders_file(&name, &text.replace(from, to)));
+    let mut client = client(&mixer);
+    say(&mut client, scan("a", &[0, 1, 2, 3]));
+    assert_eq!(answer(&mut client).0, 200);
+    say(&mut client, scan_of("fix", "x", "e", &[0]));
+    assert_eq!(answer(&mut client).0, 200);
+    assert_eq!(told.try_iter().filter(|(_, rest)| rest.starts_with("e.0 ")).count(), 1);
+}
+
+/// The platform has no words for a second step on sockets.
+#[test]
+fn a_second_step_is_refused_at_the_start_by_a_line_that_names_its_traffic_type() {
+    let at = free_address();
+    let text = orders(&at.to_string(), at, &list(&[at]));
+    let text = text.replace("\"per_call\":1", "\"per_call\":1,\"fetch_parts\":[3,0]");
+    let output = command(&orders_file("second-step", &text)).output().unwrap();
+    let says = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success() && says.contains("look: a second step is not spoken"), "{says}");
+}
