--- a/crates/fronts/src/readings.rs
+++ b/crates/fronts/src/readings.rs
@@ -128,7 +128,7 @@
             multiple: self.number("invariants.fall_multiple", 1.0)?,
             fall: self.span("invariants.fall")?,
         };
-        let mut roster = Roster::new(
+        let roster = Roster::new(
             seed,
             self.number("family_info.cells", 1.0)? as u32,
             self.number("family_info.width", 1.0)? as u32,
@@ -137,7 +137,7 @@
             cold,
         );
         let idle = self.span("limits.idle_close")?;
-        roster.idle_close = Some(idle).filter(|idle| *idle > Span::ZERO);
+        let roster = if idle > Span::ZERO { roster.closing_idle(idle) } else { roster };
         let share = self.number("invariants.further_ratio", -1.0)?;
         let few = self.number("invariants.free_resends", 0.0)?;
         let window = self.span("invariants.resend_span")?;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -201,15 +201,20 @@
     /// The share of relays lost or in vain, by how long nothing came: under 250 ms, then twice each time;
     /// last, of those on new connections, opened for doubt of the old or as those are closed by then.
     vain: [f64; ANEW + 1],
-    /// Connections idle for so long are closed by the platform, and the next part goes on a new one.
-    pub idle_close: Option<Span>,
+    idle_close: Span,
     trial: Moment,
 }
 
 impl Roster {
     pub fn new(seed: u64, cells: u32, width: u32, per_call: usize, may_check: bool, cold: ColdCare) -> Self {
-        let (cells, chance) = (cells.max(1), Chance::new(seed));
-        Self { cells, width, per_call, may_check, cold, chance, ..Self::default() }
+        let (cells, chance, never) = (cells.max(1), Chance::new(seed), Span::of_micros(u64::MAX));
+        Self { cells, width, per_call, may_check, cold, chance, idle_close: never, ..Self::default() }
+    }
+
+    /// Connections idle for so long are closed by the platform, and the next part goes on a new one.
+    pub fn closing_idle(mut self, after: Span) -> Self {
+        self.idle_close = after;
+        self
     }
 
     fn average(&self) -> f64 {
@@ -276,11 +281,8 @@
     /// How much of what is known holds: halved over the check interval, and three tenths of the fleet's turn,
     /// as each of many hears of it less often. None of that lost 0.01, all of it no less.
     fn fading(&self, now: Moment, seat: &Seat) -> f64 {
-        self.recent(now, if seat.out.is_empty() { seat.heard } else { now })
-    }
-
-    fn recent(&self, now: Moment, since: Moment) -> f64 {
-        (-now.since(since).as_f64() / (CHECK_EVERY.as_f64() + 0.3 * self.cold.fleet * self.shortest)).exp2()
+        let until = if seat.out.is_empty() { seat.heard } else { now };
+        (-now.since(until).as_f64() / (CHECK_EVERY.as_f64() + 0.3 * self.cold.fleet * self.shortest)).exp2()
     }
 
     /// Smooths in what a relay's end tells. An eighth, as in TCP: one odd part tells little, but one in vain
@@ -381,8 +383,7 @@
         let seat = self.seats.entry(searcher).or_default();
         let idle = now.since(seat.stood);
         let doubling = (u64::BITS - (idle.micros() / 250_000).leading_zeros()) as usize;
-        let closed = self.idle_close.is_some_and(|after| idle >= after);
-        let pause = if closed { ANEW } else { doubling.min(ANEW - 1) };
+        let pause = if idle >= self.idle_close { ANEW } else { doubling.min(ANEW - 1) };
         seat.out.push(now);
         seat.sent = now;
         let worst = self.vain[1..=pause.min(ANEW - 1)].iter().copied().fold(0.0, f64::max);
@@ -423,7 +424,8 @@
         }
         // Dropped as soon as it was used again (a twentieth of the least that a part takes), it had been
         // closed before: that says nothing of the searcher. And who is not listed any more may well go down.
-        let closed = how == Landing::Dropped && pause > 0 && !leg.stale && took * 20.0 < self.shortest;
+        let unseen = pause > 0 && !leg.stale && took * 20.0 < self.shortest;
+        let closed = how == Landing::Dropped && unseen;
         let died = how == Landing::Dropped && !closed && seat.told.ready;
         // It answers what was sent after the loss, and has not started since: its connection broke, no more.
         let lives = |at: &Moment| back && leg.left > *at && seat.fresh.is_none_or(|(since, _)| since < *at);
@@ -458,9 +460,6 @@
     pause: Span,
     /// The longest that a client gave a try, for each traffic type.
     longest_left: BTreeMap<usize, Span>,
-    /// The share of a scan's parts that had not come back at its end, smoothed, and when one last ended.
-    missing: f64,
-    ended: Moment,
 }
 
 impl Door {
@@ -476,16 +475,6 @@
         *ahead > 3.0 * *rate + 1.0
     }
 
-    /// By half: a scan is many parts. Those of one that ended early count, as they were sent in vain.
-    fn note_ended(&mut self, now: Moment, parts: &[Part]) {
-        let sent: Vec<f64> =
-            parts.iter().filter(|p| !p.tried.is_empty()).map(|p| f64::from(p.honoured)).collect();
-        let came = sent.iter().sum::<f64>() / sent.len().max(1) as f64;
-        if !sent.is_empty() {
-            (self.missing, self.ended) = ((self.missing + 1.0 - came) / 2.0, now);
-        }
-    }
-
     /// Credit for work, against the best met: per part where credit does not grow with work.
     fn worth(&mut self, credit: f64, parts: usize) -> f64 {
         let worth = if self.by_work { credit } else { credit / parts.max(1) as f64 };
@@ -616,7 +605,6 @@
         scan.parts.iter().for_each(|p| *beside.entry(home(p)).or_insert(0) += 1);
         let fits = |p: &&PartTaken| self.roster.room(now, patience, p.shard, worth, luck, beside[&home(p)]);
         let room: f64 = scan.parts.iter().filter(fits).map(|p| p.weight).sum();
-        let room = self.comes_back(now, patience, room);
         if patience == Span::ZERO || (late && kind.late_credit <= 0.0) || room + SLACK < kind.floor {
             return host.bounce(id, self.door.pause);
         }
@@ -637,16 +625,6 @@
         self.send_out(host, id);
     }
 
-    /// What may come back of the parts that find room. Where parts take over a third of the time (a half and
-    /// a quarter did less well), that is what came back of the last scans, and what relays mend: against a
-    /// fleet kept full by scans that fail with their parts sent, and are asked again. Catches whatever fills
-    /// searchers that seem to have room. Hurts a mixer that met a few sick ones while all are slow, a while.
-    fn comes_back(&self, now: Moment, patience: Span, room: f64) -> f64 {
-        let missing = self.door.missing * self.roster.recent(now, self.door.ended);
-        let slow = f64::from(self.roster.typical * 3.0 > patience.as_f64());
-        room.min(room * (1.0 - missing * slow) + self.budget.share)
-    }
-
     pub fn more_parts(&mut self, host: &mut dyn Host, id: ScanId, parts: &[PartTaken]) {
         self.budget.note_taken(host.now(), parts.len());
         let Some(scan) = self.scans.get_mut(&id) else { return };
@@ -846,7 +824,6 @@
     /// is called off first, so that nothing is sent after it.
     fn close(&mut self, host: &mut dyn Host, id: ScanId) {
         let Some(mut scan) = self.scans.remove(&id) else { return };
-        self.door.note_ended(host.now(), &scan.parts[scan.first..]);
         self.call_off_all(host, &scan);
         let kind = &self.types[scan.traffic_type];
         let (honoured, whole_from) = scan.reached(kind);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -449,23 +449,6 @@
     assert!((1..=4).contains(&met), "{met} of 12");
 }
 
-/// Scans of many parts were let in one after another, each lost a few, and the others of its parts were sent in vain.
-#[test_case(800, false; "where all are slow")]
-#[test_case(100, true; "not where a few fail among quick ones")]
-fn after_a_scan_that_failed_with_its_parts_sent_the_next_waits(usual: u64, taken: bool) {
-    let mut story = story_with(whole_only(), RelayBudget::new(1, None), true);
-    story.settle_in(usual);
-    let failed = story.scan(3);
-    story.land(story.out(failed)[0], Landing::Erred);
-    assert_eq!(story.host.ending(failed), Some(Ending::Bounced));
-    let next = story.scan(3);
-    assert_eq!(story.out(next).len(), if taken { 3 } else { 0 });
-    assert_eq!(story.host.ending(next), (!taken).then_some(Ending::Bounced));
-    story.pass(20_000);
-    let later = story.scan(3);
-    assert_eq!(story.out(later).len(), 3, "what is known fades");
-}
-
 /// Some scans bring down each searcher that begins a part of them.
 #[test]
 fn a_scan_under_whose_parts_two_searchers_died_is_carried_no_further() {
