The load before a step counts mixers away in it, so that a comparison comes to an end

Lines: Judge::look_back left out a mixer whose life was another at the window's end, and divided by the whole time; one unheard counted as taking nothing. A conductor that begins anew while mixers are restarted, or a mixer that is silent then, made the load before too small for ever. Now each mixer's work over all its lives is divided by the time for which it was heard; what came in a long silence counts on neither side.

--- a/crates/conductor/tests/rollout.rs
+++ b/crates/conductor/tests/rollout.rs
@@ -120,11 +120,13 @@
     breaches: Vec<Breach>,
     conducted: Conducted,
     journal: String,
+    log: String,
 }
 
 impl Ran {
     fn shows(&self) -> String {
-        format!("{:?}\n{}\n{}\n{}", self.breaches, self.conducted.says, self.journal, self.figures)
+        let Self { figures, breaches, conducted, journal, log } = self;
+        format!("{breaches:?}\n{}\n{journal}\n{log}\n{figures}", conducted.says)
     }
 }
 
@@ -141,8 +143,9 @@
     let all = Cast { program: &program, beside: None, operator, begin: Some(&begin) };
     let (played, conducted) = cast(day, 7, &all).unwrap();
     let _ = std::fs::remove_file(settings);
-    let journal = std::fs::read_to_string(bench.folder.join("journal")).unwrap_or_default();
-    Ran { figures: played.figures, breaches: played.breaches, conducted, journal }
+    let wrote = |name: &str| std::fs::read_to_string(bench.folder.join(name)).unwrap_or_default();
+    let (journal, log) = (wrote("journal"), wrote("journal.log"));
+    Ran { figures: played.figures, breaches: played.breaches, conducted, journal, log }
 }
 
 const RUN: &str = "exec \"$0\" run \"$1\"";
@@ -175,8 +178,7 @@
     let ran = run(&bench, &day(LONG, 4, 150, troubles), 2, &new, SHORT, RUN);
     assert_eq!(ran.conducted.code, Some(0), "{}", ran.shows());
     assert!(ran.breaches.is_empty(), "{}", ran.shows());
-    let log = std::fs::read_to_string(bench.folder.join("journal.log")).unwrap_or_default();
-    assert!(ran.conducted.says.contains(says) || log.contains(says), "{}", ran.shows());
+    assert!(ran.conducted.says.contains(says) || ran.log.contains(says), "{}", ran.shows());
 }
 
 /// By the operator's commands, and mixers that stand still as soon as they are told to end: each is killed in the end, and
--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -130,12 +130,38 @@
     listed: BTreeMap<usize, u64>,
 }
 
-/// What each mixer told last, and at the two last turns of the time before.
+/// What a mixer did in all its lives, and for how long it was heard meanwhile.
+#[derive(Clone, Debug, Default)]
+struct Work {
+    types: BTreeMap<String, Sums>,
+    seconds: f64,
+}
+
+/// What each mixer told last, and its work by now and by the two last turns of the time before.
 #[derive(Clone, Debug, Default)]
 struct Known {
-    last: Option<Told>,
-    newer: Option<Told>,
-    older: Option<Told>,
+    last: Option<(Told, Moment)>,
+    work: Work,
+    newer: Work,
+    older: Work,
+}
+
+impl Known {
+    /// Takes in what it told. What it did since it was last heard counts, in a new life too, or a conductor that begins
+    /// anew while mixers are changed takes the load for less than it is; not so where it was long unheard.
+    fn note(&mut self, now: Moment, told: &Told) {
+        let Some((before, at)) = self.last.replace((told.clone(), now)) else { return };
+        let gap = now.since(at);
+        if gap >= LOAD_SEEN {
+            return;
+        }
+        self.work.seconds += gap.as_f64() / 1e6;
+        for (name, sums) in &told.types {
+            let same = before.incarnation == told.incarnation;
+            let begun = before.types.get(name).filter(|_| same).cloned().unwrap_or_default();
+            self.work.types.entry(name.clone()).or_default().add(&sums.since(&begun));
+        }
+    }
 }
 
 pub struct Judge {
@@ -192,7 +218,7 @@
 
     /// A step begins, and what is then is what it is held against. What was known of others is forgotten.
     pub fn begin(&mut self, now: Moment, parts: Vec<Part>) {
-        let before = self.look_back(now);
+        let before = self.look_back();
         if !before.types.is_empty() {
             self.before = before;
         }
@@ -203,7 +229,7 @@
     /// The comparison of a step begins: all have settled. One that was not begun here is held against what is known.
     pub fn compare(&mut self, now: Moment, parts: Vec<Part>) {
         if self.before.types.is_empty() {
-            self.before = self.look_back(now);
+            self.before = self.look_back();
         }
         self.parts = parts;
         self.restart(now);
@@ -217,40 +243,42 @@
         self.wholes = self.before.types.keys().map(|name| (name.clone(), Whole::default())).collect();
     }
 
-    fn look_back(&self, now: Moment) -> Before {
-        let Some(at) = self.turned.1.or(self.turned.0) else { return Before::default() };
-        let (mut all, mut listed) = (BTreeMap::<String, Sums>::new(), BTreeMap::new());
+    fn look_back(&self) -> Before {
+        let (mut all, mut listed) = (BTreeMap::<String, (Sums, f64)>::new(), BTreeMap::new());
         for (mixer, known) in self.known.iter().enumerate() {
-            let Some(last) = &known.last else { continue };
+            let Some((last, _)) = &known.last else { continue };
             listed.insert(mixer, last.listed);
-            let then = known.older.as_ref().or(known.newer.as_ref());
-            let Some(then) = then.filter(|then| then.incarnation == last.incarnation) else { continue };
-            for (name, sums) in &last.types {
-                let before = then.types.get(name).cloned().unwrap_or_default();
-                all.entry(name.clone()).or_default().add(&sums.since(&before));
+            // Who could not be heard for a part of the time took as much then as else; for all of it, as ever.
+            let heard_of_late = known.work.seconds > known.older.seconds;
+            let then = if heard_of_late { &known.older } else { &Work::default() };
+            let seconds = (known.work.seconds - then.seconds).max(1e-3);
+            for (name, sums) in &known.work.types {
+                let more = sums.since(then.types.get(name).unwrap_or(&Sums::default()));
+                let (pool, rate) = all.entry(name.clone()).or_default();
+                pool.add(&more);
+                *rate += more.taken as f64 / seconds;
             }
         }
-        let seconds = now.since(at).as_f64() / 1e6;
-        let line =
-            |sums: &Sums| (1.0 - lost(sums), sums.taken as f64 / seconds.max(1e-3), sums.quantile(USUAL));
-        let seen = all.iter().filter(|(_, sums)| sums.ended() > 0);
-        Before { types: seen.map(|(name, sums)| (name.clone(), line(sums))).collect(), listed }
+        let line = |(sums, rate): &(Sums, f64)| (1.0 - lost(sums), *rate, sums.quantile(USUAL));
+        let seen = all.iter().filter(|(_, (sums, _))| sums.ended() > 0);
+        Before { types: seen.map(|(name, known)| (name.clone(), line(known))).collect(), listed }
     }
 
-    /// What a mixer told. Of another incarnation than before, it begins from nothing.
+    /// What a mixer told. Of another incarnation than before, what is compared begins from nothing.
     pub fn hear(&mut self, now: Moment, mixer: usize, told: &Told) {
         self.turn(now);
         let known = &mut self.known[mixer];
-        let before = known.last.replace(told.clone());
-        known.newer.get_or_insert_with(|| told.clone());
-        let same = |old: &Told| old.incarnation == told.incarnation;
-        let Some(before) = before.filter(same) else { return };
+        let before = known.last.clone();
+        known.note(now, told);
+        let same = |old: &(Told, Moment)| old.0.incarnation == told.incarnation;
+        let Some((before, at)) = before.filter(same) else { return };
         if self.parts[mixer] != Part::New {
             self.mind_list(mixer, told.listed);
         }
         for (name, sums) in &told.types {
             let more = sums.since(before.types.get(name).unwrap_or(&Sums::default()));
-            self.taken += more.taken;
+            // What it did while it was long unheard is not the load of now.
+            self.taken += if now.since(at) < LOAD_SEEN { more.taken } else { 0 };
             self.pool(mixer, name, &more);
         }
         self.mind_load(now);
@@ -262,8 +290,7 @@
         if due {
             self.turned = (Some(now), self.turned.0);
             for known in &mut self.known {
-                known.older = known.newer.take();
-                known.newer.clone_from(&known.last);
+                known.older = std::mem::replace(&mut known.newer, known.work.clone());
             }
         }
     }
--- a/crates/rollout/src/machine.rs
+++ b/crates/rollout/src/machine.rs
@@ -406,7 +406,7 @@
         (0..self.posts.len()).for_each(|mixer| self.mind_order(now, mixer, out));
         self.mind_gone(now, out);
         match self.stand.clone() {
-            Stand::Surveying => self.survey(watched, out),
+            Stand::Surveying => self.survey(now, watched, out),
             Stand::Moving if self.all_as_wanted() => self.stand = Stand::Settling(now),
             Stand::Settling(_) | Stand::Judging(_) if !self.all_as_wanted() => self.stand = Stand::Moving,
             Stand::Settling(since) if now.since(since) >= self.course.settle => {
@@ -445,7 +445,10 @@
     }
 
     /// Everybody has to be heard before anything is ordered: no fact is not a bad fact.
-    fn survey(&mut self, watched: bool, out: &mut Out) {
+    fn survey(&mut self, now: Moment, watched: bool, out: &mut Out) {
+        if self.waits_for_lost(now, out) {
+            return;
+        }
         let known = |post: &Post| post.report.is_some() || post.gone.is_some();
         if !self.posts.iter().all(known) {
             return;
@@ -509,14 +512,20 @@
         self.stand = Stand::Held(hold);
     }
 
+    /// Whether one is neither known to be gone nor heard; people are told which.
+    fn waits_for_lost(&self, now: Moment, out: &mut Out) -> bool {
+        let lost = (0..self.posts.len()).find(|at| self.posts[*at].gone.is_none() && self.unheard(*at, now));
+        let told =
+            lost.map(|mixer| format!("{} is out of reach: nothing is ordered", self.course.names[mixer]));
+        let waits = told.is_some();
+        out.extend(told.map(Effect::Tell));
+        waits
+    }
+
     /// As many as may be away; those that are gone first, as they are away already.
     fn order_next(&mut self, now: Moment, out: &mut Out) {
-        let lost = (0..self.posts.len()).find(|at| self.posts[*at].gone.is_none() && self.unheard(*at, now));
-        if let Some(mixer) = lost {
-            return out.push(Effect::Tell(format!(
-                "{} is out of reach: nothing is ordered",
-                self.course.names[mixer]
-            )));
+        if self.waits_for_lost(now, out) {
+            return;
         }
         let most = if self.undone.is_some() { self.course.undo_away } else { self.course.most_away };
         let mut all: Vec<usize> = (0..self.posts.len()).collect();
--- a/crates/rollout/tests/change.rs
+++ b/crates/rollout/tests/change.rs
@@ -198,6 +198,20 @@
     assert_eq!(fleet.side(Side::New), 4);
 }
 
+/// A time before with a mixer missing is no time before.
+#[test]
+fn no_step_begins_while_one_is_out_of_reach_and_people_are_told_which() {
+    let mut fleet = Fleet::new(Means::Restart);
+    fleet.take(Event::Time { watched: false });
+    (0..6).for_each(|at| fleet.take(Event::Heard(at, fleet.report(at).unwrap())));
+    fleet.now = fleet.now + Span::of_millis(2_500);
+    (0..5).for_each(|at| fleet.take(Event::Heard(at, fleet.report(at).unwrap())));
+    let out = fleet.change.take(fleet.now, Event::Time { watched: true });
+    assert_eq!(out, [Effect::Tell("m5 is out of reach: nothing is ordered".into())]);
+    fleet.judging();
+    assert_eq!(fleet.side(Side::New), 2);
+}
+
 #[test]
 fn a_new_one_that_crashes_is_the_end_of_the_change_at_once() {
     let mut fleet = Fleet::new(Means::Restart);
--- a/crates/rollout/tests/verdict.rs
+++ b/crates/rollout/tests/verdict.rs
@@ -200,6 +200,40 @@
     assert!(matches!(ruling, Ruling::Disturbed(_)), "{ruling:?} after {after} s");
 }
 
+/// What a time before tells of the load, with mixers away in it, is the load: else all that comes after it looks like
+/// another day, for ever. Each mixer takes four hundred scans a second, from its start on.
+#[test_case(|mixer, turn| (mixer > 0 && (8 * mixer..8 * mixer + 7).contains(&turn)).then_some(true); "three of four begin anew")]
+#[test_case(|mixer, turn| (mixer == 3 && (8..40).contains(&turn)).then_some(false); "one can't be heard at its end")]
+#[test_case(|mixer, turn| (mixer == 3 && turn < 31).then_some(false); "one can't be heard at its beginning")]
+fn the_time_before_tells_the_load_with_mixers_away_in_it(away: fn(u64, u64) -> Option<bool>) {
+    let mut judge =
+        Judge::new(Scales { before: Span::of_millis(3_000), ..Scales::default() }, vec!["z".into(); 4]);
+    let mut told: Vec<Told> = (0..4).map(|at| mixer(&format!("first-{at}"))).collect();
+    for turn in 0..100 {
+        let now = Moment::at_micros(1_000_000) + Span::of_millis(250 * turn);
+        for (at, told) in told.iter_mut().enumerate() {
+            let away = away(at as u64, turn);
+            if away == Some(true) {
+                *told = mixer(&format!("second-{at}"));
+                continue;
+            }
+            let sums = told.types.get_mut("look").unwrap();
+            (sums.taken, sums.served) = (sums.taken + 100, sums.served + 100);
+            sums.within.iter_mut().for_each(|line| line.1 += 100);
+            if away.is_none() {
+                judge.hear(now, at, told);
+            }
+        }
+        if turn == 32 {
+            judge.compare(now, vec![Part::New, Part::New, Part::Twin, Part::Twin]);
+        }
+        if turn >= 32 {
+            let ruling = judge.ruling(now);
+            assert!(!matches!(ruling, Ruling::Disturbed(_)), "{ruling:?} in turn {turn}");
+        }
+    }
+}
+
 /// Ville's bound, on what a gambler sees whose odds are fair: no more than one in twenty ever has twenty times his stake.
 #[test]
 fn a_fair_gambler_seldom_becomes_rich_however_often_one_looks() {
