A part turned away, without which its scan fails, waits for room while the rest is out

Ruled out: fresh searchers (3 to 5 parts of 100), limits (0 to 1), the door (let in with all parts finding room). Lines: the landing in Mixer::relay took `another` -> None for the part's end at once; settle then closed the scan. Now Mixer::again looks again after an eighth of the time left, only for parts turned away (they provably never ran), only where the scan fails without them and a replica is untried; all limits of a relay hold as before.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,7 @@
 //! Beside the design stand six mechanisms:
 //! 1. failures, silence and parts in vain read as latency (`Roster::note_landed`, `Roster::standing`)
 //! 2. a part that failed or is late goes to another replica, in a budget, unless its scan brings searchers
-//!    down; while they die, one part goes ahead (`Mixer::another`, `Mixer::hurry`, `Mixer::send_out`)
+//!    down; while they die, one part goes ahead (`Mixer::again`, `Mixer::hurry`, `Mixer::send_out`)
 //! 3. a fresh searcher's cap, which grows with its answers (`ColdCare`, `Roster::closed`)
 //! 4. a limit on what is in flight at each searcher; what finds no room is turned away, least credit first,
 //!    by the fleet's one order where it is wanted (`Roster::room`, `Door`, `Mixer::send_out`, `Fleet`)
@@ -517,6 +517,10 @@
         let honoured = self.parts[self.first..].iter().filter(|p| p.honoured).map(|p| p.taken.weight);
         (honoured.sum(), self.first_whole.map_or(kind.whole_from, |_| 1.0))
     }
+
+    fn hope(&self) -> f64 {
+        self.parts[self.first..].iter().filter(|p| !p.lost).map(|p| p.taken.weight).sum()
+    }
 }
 
 #[derive(Default)]
@@ -737,10 +741,8 @@
             if died && scan.held {
                 return mixer.close(host, id);
             }
-            if let Some(to) = part.lost.then(|| mixer.another(host.now(), id, at)).flatten() {
-                mixer.budget.further.push_back(host.now());
-                mixer.fleet.iter_mut().for_each(|fleet| fleet.relayed(host.now(), cell));
-                mixer.relay(host, id, at, to);
+            if part.lost {
+                mixer.again(host, id, at, how == Landing::TurnedAway);
             }
             mixer.send_rest(host, id);
             mixer.settle(host, id);
@@ -754,6 +756,32 @@
         }
     }
 
+    /// Sends a part that failed elsewhere. One that was turned away, without which its scan fails, looks for
+    /// room again after an eighth of the time left: given up for one full queue, a scan throws away all that
+    /// is out for it. Hurts a client that would have found room sooner by asking again.
+    fn again(&mut self, host: &mut dyn Host, id: ScanId, at: usize, may_wait: bool) {
+        let now = host.now();
+        if let Some(to) = self.another(now, id, at) {
+            let cell = self.scans[&id].parts[at].taken.shard % self.roster.cells;
+            self.budget.further.push_back(now);
+            self.fleet.iter_mut().for_each(|fleet| fleet.relayed(now, cell));
+            return self.relay(host, id, at, to);
+        }
+        let Some(scan) = self.scans.get_mut(&id).filter(|_| may_wait) else { return };
+        let (part, left) = (&scan.parts[at], scan.ends.since(now));
+        let untried = self.roster.holders(part.taken.shard).any(|to| !part.tried.contains(&to));
+        let may = part.tried.len() < self.budget.cap && left.as_f64() > 2.0 * self.roster.shortest;
+        scan.parts[at].lost = scan.hope() + SLACK >= self.types[scan.traffic_type].floor || !untried || !may;
+        if !scan.parts[at].lost {
+            self.later(host, left * 0.125, move |mixer, host| {
+                let Some(scan) = mixer.scans.get_mut(&id).filter(|scan| at >= scan.first) else { return };
+                scan.parts[at].lost = true;
+                mixer.again(host, id, at, true);
+                mixer.settle(host, id);
+            });
+        }
+    }
+
     /// A part that failed goes at once to a replica it has not been to, as rules 2 and 6 allow: against
     /// whatever loses single parts. Hurts where all fail together; so it needs room as a scan of no credit
     /// would. A scan under whose parts two died may be what kills them, and is carried no further.
@@ -811,10 +839,9 @@
         let Some(scan) = self.scans.get(&id) else { return };
         let (step, kind) = (&scan.parts[scan.first..], &self.types[scan.traffic_type]);
         let (honoured, whole_from) = scan.reached(kind);
-        let hope: f64 = step.iter().filter(|p| !p.lost).map(|p| p.taken.weight).sum();
         let all = step.iter().all(|p| p.honoured || p.lost);
         let waits = step.is_empty() && scan.first_whole.is_some();
-        if !waits && (all || honoured + SLACK >= whole_from || hope + SLACK < kind.floor) {
+        if !waits && (all || honoured + SLACK >= whole_from || scan.hope() + SLACK < kind.floor) {
             self.close(host, id);
         }
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -333,6 +333,45 @@
     assert_eq!(story.host.relays.len(), 2);
 }
 
+/// Given up for one full queue, a scan threw away all that was out for it, and its client asked for all of it again.
+#[test_case(whole_only(), true; "one that its scan can't do without")]
+#[test_case(partial(), false; "not one that it can")]
+fn a_part_turned_away_waits_for_room_elsewhere_while_its_scan_is_out(kind: TrafficType, waits: bool) {
+    let mut story = story(kind);
+    story.settle_in(100);
+    let id = story.scan(3);
+    let others: Vec<ScanId> = (0..12).map(|_| story.scan(3)).collect();
+    let first = story.out(id)[0];
+    story.land(first, Landing::TurnedAway);
+    assert_eq!((story.out(id).len(), story.host.ending(id)), (2, None), "nobody has room");
+    story.pass(50);
+    others.into_iter().for_each(|other| story.land_all(other, Landing::Honoured));
+    story.pass(300);
+    let again: Vec<u32> = story.out(id).iter().filter(|r| r.part == first.part).map(|r| r.to).collect();
+    assert_eq!(again.len(), usize::from(waits));
+    assert!(!again.contains(&first.to));
+    story.land_all(id, Landing::Honoured);
+    assert_eq!(story.host.ending(id), Some(if waits { Ending::Whole } else { Ending::Partial }));
+}
+
+/// Where no room comes the timer ends the scan as ever, and nothing is sent after it (the host looks).
+#[test]
+fn a_part_that_finds_no_room_does_not_hold_its_scan_past_the_timer() {
+    let mut story = story(whole_only());
+    story.settle_in(100);
+    let id = story.scan(3);
+    for _ in 0..12 {
+        story.scan(3);
+    }
+    let first = story.out(id)[0];
+    story.land(first, Landing::TurnedAway);
+    story.pass(1_980);
+    assert_eq!(story.host.ending(id), None);
+    story.pass(20);
+    assert_eq!(story.host.ending(id), Some(Ending::Bounced));
+    story.pass(3_000);
+}
+
 /// A hung searcher's room stays full of work that nobody waits for, and every part it is sent fails at once.
 #[test]
 fn full_rooms_shut_the_door_until_a_check_interval_is_over() {
