One part, or the last relay: a part turned away with nothing to wait for is given up at once

The condition was the hope left being under the floor, which nothing at all is too. Now some of the scan has to be in hope. Seen on the way: that a part with all its relays behind it does not wait was held by a line with no story. An argument of the scene in passed_on.rs that was always none is gone.

--- a/crates/fronts/tests/passed_on.rs
+++ b/crates/fronts/tests/passed_on.rs
@@ -56,12 +56,11 @@
 }
 
 impl Play {
-    fn by(settings: &str, started_before: Option<Span>) -> Self {
+    fn by(settings: &str) -> Self {
         let readings = Readings::parse(format!("{PLAIN}\n{settings}").as_bytes()).unwrap();
         let mut mixer = readings.mixer(7).unwrap();
         let mut scene = Scene { now: Moment::at_micros(100_000_000), ..Scene::default() };
-        let started = started_before.map(|before| scene.now.less(before));
-        let of = |number| Listing { searcher: Searcher(number), ready: true, started, ..Listing::default() };
+        let of = |number| Listing { searcher: Searcher(number), ready: true, ..Listing::default() };
         mixer.listed(&mut scene, true, &[of(0), of(1), of(2)]);
         Self { mixer, scene, scans: 0 }
     }
@@ -96,7 +95,7 @@
 
 /// A scan of so many parts, of which the last is honoured, if it has another; all else ends so. Then six seconds pass.
 fn played(settings: &str, parts: usize, how: Landing) -> Vec<String> {
-    let mut play = Play::by(settings, None);
+    let mut play = Play::by(settings);
     play.scan(parts);
     let sound = if parts > 1 { play.scene.out.pop_back() } else { None };
     play.land(how);
@@ -147,7 +146,7 @@
 #[test_case("", 40, 40; "nothing is said of cold ones")]
 #[test_case("fleet_size=160\ninvariants.cold_from=0.5\ninvariants.cold=18000000\ninvariants.fall_multiple=3\ninvariants.fall=1500000", 1, 20; "one of 160 mixers")]
 fn cold_searchers_get_their_share(settings: &str, least: usize, most: usize) {
-    let mut play = Play::by(settings, None);
+    let mut play = Play::by(settings);
     for _ in 0..30 {
         play.scan(1);
         play.land(Landing::Honoured);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -760,19 +760,19 @@
     /// room again after an eighth of the time left: given up for one full queue, a scan throws away all that
     /// is out for it. Hurts a client that would have found room sooner by asking again.
     fn again(&mut self, host: &mut dyn Host, id: ScanId, at: usize, may_wait: bool) {
-        let now = host.now();
-        if let Some(to) = self.another(now, id, at) {
+        if let Some(to) = self.another(host.now(), id, at) {
             let cell = self.scans[&id].parts[at].taken.shard % self.roster.cells;
-            self.budget.further.push_back(now);
-            self.fleet.iter_mut().for_each(|fleet| fleet.relayed(now, cell));
+            self.budget.further.push_back(host.now());
+            self.fleet.iter_mut().for_each(|fleet| fleet.relayed(host.now(), cell));
             return self.relay(host, id, at, to);
         }
-        let Some(scan) = self.scans.get_mut(&id).filter(|_| may_wait) else { return };
-        let (part, left) = (&scan.parts[at], scan.ends.since(now));
+        let may = |scan: &&mut Scan| may_wait && scan.parts[at].tried.len() < self.budget.cap;
+        let Some(scan) = self.scans.get_mut(&id).filter(may) else { return };
+        let (part, left) = (&scan.parts[at], scan.ends.since(host.now()));
+        let needed = (2.0 * SLACK..self.types[scan.traffic_type].floor).contains(&(scan.hope() + SLACK));
         let untried = self.roster.holders(part.taken.shard).any(|to| !part.tried.contains(&to));
-        let may = part.tried.len() < self.budget.cap && left.as_f64() > 2.0 * self.roster.shortest;
-        scan.parts[at].lost = scan.hope() + SLACK >= self.types[scan.traffic_type].floor || !untried || !may;
-        if !scan.parts[at].lost {
+        if needed && untried && left.as_f64() > 2.0 * self.roster.shortest {
+            scan.parts[at].lost = false;
             self.later(host, left * 0.125, move |mixer, host| {
                 let Some(scan) = mixer.scans.get_mut(&id).filter(|scan| at >= scan.first) else { return };
                 scan.parts[at].lost = true;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -354,6 +354,35 @@
     assert_eq!(story.host.ending(id), Some(if waits { Ending::Whole } else { Ending::Partial }));
 }
 
+/// Nothing else is out for it that would be for nothing: its client is told at once.
+#[test]
+fn a_scan_of_one_part_that_finds_no_room_is_given_up_at_once() {
+    let mut story = story(whole_only());
+    story.settle_in(100);
+    let id = story.scan(1);
+    for _ in 0..12 {
+        story.scan(3);
+    }
+    let first = story.out(id)[0];
+    story.land(first, Landing::TurnedAway);
+    assert_eq!(story.host.ending(id), Some(Ending::Bounced));
+}
+
+/// Nor is there anything to wait for where a part has had all the relays that it may have.
+#[test]
+fn a_part_turned_away_for_the_last_time_ends_its_scan_at_once() {
+    let mut story = story(whole_only());
+    story.list(true, &[(0, true), (1, true), (2, true), (3, true)], None);
+    let id = story.scan(2);
+    let part = story.out(id)[0].part;
+    for _ in 0..3 {
+        assert_eq!(story.host.ending(id), None);
+        let relay = story.out(id).into_iter().find(|relay| relay.part == part).unwrap();
+        story.land(relay, Landing::TurnedAway);
+    }
+    assert_eq!(story.host.ending(id), Some(Ending::Bounced));
+}
+
 /// Where no room comes the timer ends the scan as ever, and nothing is sent after it (the host looks).
 #[test]
 fn a_part_that_finds_no_room_does_not_hold_its_scan_past_the_timer() {
