Interrupted and short system calls are made again; a failed accept puts nobody out

Cause: Async::read_with, write_with and peek hand EINTR on, and pump took it for a broken connection; ENFILE, ENOBUFS and a connection's own pending error at accept went to House::ran_short at once, which sends a client off and takes places away; accept_all's last loop ended at the first error, and dropping the listener reset its backlog; a refusal was dropped at its first interrupted or short write.

--- /dev/null
+++ b/crates/mixer/src/program/accepting.rs
@@ -0,0 +1,153 @@
+//! The listeners: whoever stands outside is accepted in batches, as long as the door is open.
+
+use super::clients::Clients;
+use super::handle::Handle;
+use super::refusals::refuse_alone;
+use crate::protocol::scans::bounce;
+use crate::routing::Event;
+use crate::transport::{accept, Accepted, Bell, Reserve};
+use async_io::{Async, Timer};
+use fernglade::Span;
+use fernglade_admission::{AfterFailure, Shortage};
+use futures_lite::future;
+use std::cell::Cell;
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How many are accepted before others have a turn: some hundred microseconds' work.
+const BATCH: usize = 32;
+/// How long the backlog of a listener that is to be shut is looked after where accepts fail.
+const LAST_ACCEPTS: Duration = Duration::from_millis(200);
+/// A shortage that lasts is told of once in so long.
+const TOLD_EVERY: Duration = Duration::from_secs(10);
+
+/// Whether clients are accepted by one listener.
+#[derive(Default)]
+pub struct Door {
+    full: Cell<bool>,
+    shut: Cell<bool>,
+    moved: Bell,
+}
+
+impl Door {
+    pub fn open(&self, open: bool) {
+        self.full.set(!open);
+        self.moved.ring();
+    }
+
+    pub fn shut(&self) {
+        self.shut.set(true);
+        self.moved.ring();
+    }
+
+    /// Waits until somebody stands outside; false where the door was opened or shut instead.
+    async fn somebody(&self, listener: &Async<TcpListener>) -> bool {
+        let moved = async {
+            self.moved.wait().await;
+            false
+        };
+        if self.full.get() {
+            return moved.await;
+        }
+        future::or(moved, async { listener.readable().await.is_ok() }).await
+    }
+
+    fn takes_more(&self) -> bool {
+        !self.full.get() && !self.shut.get()
+    }
+}
+
+/// One listener, and what it meets.
+struct Accepting {
+    clients: Rc<Clients>,
+    handle: Handle,
+    listener: Async<TcpListener>,
+    shortage: Shortage,
+    reserve: Reserve,
+    told: Option<Instant>,
+}
+
+/// Accepts until the door is shut, then lets in who stands in the backlog, and closes the listener.
+pub async fn accept_all(clients: Rc<Clients>, handle: Handle, which: usize, listener: Async<TcpListener>) {
+    let mut accepting = Accepting {
+        clients: clients.clone(),
+        handle: handle.clone(),
+        listener,
+        shortage: Shortage::default(),
+        reserve: Reserve::default(),
+        told: None,
+    };
+    let door = clients.door(which);
+    while !door.shut.get() {
+        if door.somebody(&accepting.listener).await {
+            accepting.batch(door).await;
+            future::yield_now().await;
+        }
+    }
+    accepting.empty_backlog().await;
+    drop(accepting);
+    handle.feed(Event::DoorShut);
+}
+
+impl Accepting {
+    async fn batch(&mut self, door: &Door) {
+        for _ in 0..BATCH {
+            match accept(self.listener.get_ref()) {
+                Ok(Some(accepted)) => self.knock(accepted),
+                Ok(None) => return,
+                Err(error) => return self.failed(&error).await,
+            }
+            if !door.takes_more() {
+                return;
+            }
+        }
+    }
+
+    /// The system has taken in who stands outside: they are served, or told.
+    async fn empty_backlog(&mut self) {
+        let began = Instant::now();
+        loop {
+            match accept(self.listener.get_ref()) {
+                Ok(Some(accepted)) => self.knock(accepted),
+                Ok(None) => return,
+                Err(_) if began.elapsed() > LAST_ACCEPTS => return,
+                Err(error) => self.failed(&error).await,
+            }
+        }
+    }
+
+    fn knock(&mut self, accepted: Accepted) {
+        self.shortage.passed();
+        self.clients.knocked(&self.handle, accepted);
+    }
+
+    async fn failed(&mut self, error: &io::Error) {
+        match self.shortage.failed() {
+            AfterFailure::TryAgain(pause) => drop(Timer::after(span(pause)).await),
+            AfterFailure::MakeRoom => self.make_room(error).await,
+        }
+    }
+
+    /// Whoever is at the door hears that there is no room, rather than waiting for what may not come.
+    async fn make_room(&mut self, error: &io::Error) {
+        if self.told.is_none_or(|told| told.elapsed() > TOLD_EVERY) {
+            log::warn!("no client can be let in: {error}");
+            self.told = Some(Instant::now());
+        }
+        self.handle.feed(Event::Short);
+        match self.reserve.accept(self.listener.get_ref()) {
+            Some(accepted) => refuse_alone(accepted.stream, &bounce(self.clients.come_back(), true)).await,
+            None => drop(Timer::after(SHORT_PAUSE).await),
+        }
+        self.reserve.restore();
+    }
+}
+
+/// Where not even the reserve accepts: long enough not to spin, short against any client's time.
+const SHORT_PAUSE: Duration = Duration::from_millis(20);
+
+pub fn span(span: Span) -> Duration {
+    Duration::from_micros(span.micros())
+}
--- a/crates/mixer/src/program/hub.rs
+++ b/crates/mixer/src/program/hub.rs
@@ -1,6 +1,7 @@
 //! The wiring: events of all tasks go to the state machine one after another, and its effects to the tasks.
 
-use super::clients::{self, Clients};
+use super::accepting::accept_all;
+use super::clients::Clients;
 use super::clock::Clock;
 use super::handle::Handle;
 use super::identity::Identity;
@@ -79,14 +80,15 @@
     first.into_iter().for_each(|effect| hub.act(effect));
     let handle = &hub.handle;
     for (which, listener) in listeners.into_iter().enumerate() {
-        handle.spawn(clients::accept_all(hub.clients.clone(), handle.clone(), which, listener));
+        handle.spawn(accept_all(hub.clients.clone(), handle.clone(), which, listener));
     }
-    handle.spawn(clients::tell_all(hub.clients.clone()));
+    let clients = hub.clients.clone();
+    handle.spawn(async move { clients.refusals().look_after().await });
     handle.spawn(watch::keep(hub.watch.clone(), handle.clone()));
     handle.spawn(ring(hub.clone()));
     handle.spawn(heed(handle.clone(), signals, orders.operator_file, who));
     hub.leave.wait().await;
-    clients::all_told(&hub.clients).await;
+    hub.clients.refusals().all_fetched().await;
     log::info!("{}: all is answered, the program ends", orders.name);
     Ok(())
 }
--- a/crates/mixer/src/program/mod.rs
+++ b/crates/mixer/src/program/mod.rs
@@ -1,12 +1,15 @@
 //! The program: what it is told at start, and the wiring of sockets to the state machine.
 
+mod accepting;
 mod clients;
 mod clock;
 mod handle;
 mod hub;
 mod identity;
 mod links;
+mod listening;
 mod orders;
+mod refusals;
 mod watch;
 
 pub use hub::run;
--- a/crates/mixer/src/program/watch.rs
+++ b/crates/mixer/src/program/watch.rs
@@ -5,8 +5,8 @@
 use crate::protocol::json::Json;
 use crate::protocol::lists::{news, watch_path, whole_path, News};
 use crate::routing::Event;
-use crate::transport::{dial, in_time, Bell, Inbox, Stream};
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use crate::transport::{dial, in_time, read, write_all, Bell, Inbox, Stream};
+use futures_lite::future;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -125,9 +125,9 @@
 
     /// The answer, and whether its connection is still there after it. One that tells no length is whole where the
     /// connection ends in order, and never where it breaks.
-    async fn exchange(&self, mut stream: &Stream, path: &str) -> Result<(Message, bool), String> {
+    async fn exchange(&self, stream: &Stream, path: &str) -> Result<(Message, bool), String> {
         let failed = |e: std::io::Error| e.to_string();
-        stream.write_all(&get(path, &self.at.to_string())).await.map_err(failed)?;
+        write_all(stream, &get(path, &self.at.to_string())).await.map_err(failed)?;
         let (mut inbox, mut reader) = (Inbox::new(MOST_UNREAD), Reader::of_answers(MOST_LIST));
         loop {
             let (used, message) = reader.read(inbox.unread()).map_err(|fault| format!("{fault:?}"))?;
@@ -135,7 +135,7 @@
             if let Some(message) = message {
                 return Ok((message, true));
             }
-            match stream.read(inbox.space()).await.map_err(failed)? {
+            match read(stream, inbox.space()).await.map_err(failed)? {
                 0 => {
                     let whole = reader.ended().map(|message| (message, false));
                     return whole.ok_or_else(|| "it closed the connection".into());
--- a/crates/mixer/src/transport/net.rs
+++ b/crates/mixer/src/transport/net.rs
@@ -1,7 +1,9 @@
 //! Sockets: listening, dialling, and which failures are a shortage of our own.
 
+use super::uninterrupted;
 use async_io::{Async, Timer};
 use futures_lite::future;
+use rustix::io::Errno;
 use std::fs::File;
 use std::future::Future;
 use std::io;
@@ -26,19 +28,24 @@
     pub from: IpAddr,
 }
 
-/// The next that stands outside, if one does. What ended before it was accepted is passed over.
+/// How many connections in a row may have ended before they were accepted; past that others have a turn.
+const MOST_PASSED_OVER: usize = 64;
+
+/// The next that stands outside, if one does. What ended before it was accepted is passed over: Linux hands on the
+/// errors of a connection that it had taken in.
 pub fn accept(listener: &TcpListener) -> io::Result<Option<Accepted>> {
-    loop {
-        match listener.accept() {
+    for _ in 0..MOST_PASSED_OVER {
+        match uninterrupted(|| listener.accept()) {
             Ok((stream, from)) => {
-                stream.set_nonblocking(true)?;
+                uninterrupted(|| stream.set_nonblocking(true))?;
                 return Ok(Some(Accepted { stream, from: from.ip() }));
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
-            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
-            Err(error) => return Err(error),
+            Err(error) if is_short(&error) => return Err(error),
+            Err(error) => log::debug!("a connection ended before it was accepted: {error}"),
         }
     }
+    Ok(None)
 }
 
 /// One descriptor held back for when there is none left: given up, it accepts one who would wait in vain.
@@ -79,11 +86,13 @@
 pub async fn dial(to: SocketAddr, within: Duration) -> io::Result<Stream> {
     let dialled = in_time(within, Async::<TcpStream>::connect(to)).await;
     let stream = dialled.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
-    stream.get_ref().set_nodelay(true)?;
+    // Without it small frames wait for each other, no more.
+    let _ = uninterrupted(|| stream.get_ref().set_nodelay(true));
     Ok(stream)
 }
 
-/// EMFILE, ENFILE, ENOBUFS, ENOMEM: it says nothing of the other side.
+/// This machine is out of descriptors or buffers: it says nothing of the other side.
 pub fn is_short(error: &io::Error) -> bool {
-    matches!(error.raw_os_error(), Some(24 | 23 | 105 | 12))
+    let errno = Errno::from_io_error(error);
+    matches!(errno, Some(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM))
 }
--- a/crates/mixer/src/transport/outbox.rs
+++ b/crates/mixer/src/transport/outbox.rs
@@ -1,6 +1,7 @@
 //! What waits to be written on a connection: whole frames, in order and bounded. It knows which frame's last
 //! byte the system has taken, and can take back a frame of which no byte has gone.
 
+use super::system::write_with;
 use super::{Bell, Stream};
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -59,7 +60,7 @@
     /// Writes until nothing waits, and tells of each frame whose last byte has gone.
     pub async fn drain(&self, stream: &Stream, mut gone: impl FnMut(u64)) -> io::Result<()> {
         while !self.is_empty() {
-            let count = stream.write_with(|mut socket| self.write_once(&mut socket)).await?;
+            let count = write_with(stream, |socket| self.write_once(socket)).await?;
             self.advance(count).into_iter().for_each(&mut gone);
         }
         Ok(())
@@ -91,39 +92,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::Outbox;
-    use std::io::{self, Write};
-
-    /// Takes so many bytes a call.
-    struct Narrow(usize);
-
-    impl Write for Narrow {
-        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-            Ok(bytes.len().min(self.0))
-        }
-        fn flush(&mut self) -> io::Result<()> {
-            Ok(())
-        }
-    }
-
-    #[test]
-    fn a_frame_is_gone_with_its_last_byte_and_is_taken_back_only_before_its_first() {
-        let outbox = Outbox::new(10);
-        assert!(outbox.push(1, vec![0; 4]) && outbox.push(2, vec![0; 4]));
-        assert!(!outbox.push(3, vec![0; 4]), "over the bound");
-        let step = || outbox.advance(outbox.write_once(&mut Narrow(3)).unwrap());
-        assert_eq!(step(), None);
-        assert!(!outbox.withdraw(1), "begun");
-        assert!(outbox.withdraw(2));
-        assert_eq!(step(), Some(1));
-        assert!(!outbox.withdraw(1) && outbox.is_empty());
-        assert!(outbox.push(4, vec![0; 11]), "nothing waits, and its room is free again");
-        assert!(!outbox.push(5, vec![0]));
-        assert_eq!(step(), None);
-        outbox.clear();
-        assert_eq!(outbox.write_once(&mut Narrow(3)).unwrap(), 0, "what was cleared is never written");
-        assert!(outbox.push(6, vec![0; 3]));
-        assert_eq!(step(), Some(6));
-    }
-}
+mod tests;
--- a/crates/mixer/tests/system_errors.rs
+++ b/crates/mixer/tests/system_errors.rs
@@ -88,6 +88,43 @@
     assert!(log_lines(&mixer) < 10, "{} lines of log", log_lines(&mixer));
 }
 
+/// A connection that this machine could not open says nothing of the searcher: the only one there is still used.
+#[test_case("connect", "EADDRNOTAVAIL")]
+#[test_case("connect", "ENETUNREACH")]
+#[test_case("connect", "EINTR")]
+#[test_case("socket", "ENFILE")]
+#[test_case("socket", "ENOBUFS")]
+fn a_connection_that_can_not_be_opened_for_a_moment(call: &'static str, error: &'static str) {
+    let (address, told) = searcher(good);
+    // The first is discovery's, the second the searcher's.
+    let faults = [SystemFault { call, error, when: "2+2" }];
+    let mixer = mixer(&format!("{call}-{error}"), &list(&[address]), &faults);
+    let mut client = mixer.client();
+    let answers = (0..20).map(|number| {
+        say(&mut client, scan(&format!("r{number}"), &[0]));
+        status(&mut client)
+    });
+    assert_eq!(statuses(answers), BTreeMap::from([(200, 20)]));
+    assert_eq!(parts(&told), 20, "each part goes out once");
+}
+
+/// Those who are turned away hear so, whatever the system makes of the write.
+#[test_case("recvfrom")]
+#[test_case("sendto")]
+fn a_refusal_reaches_its_client_though_calls_are_interrupted(call: &'static str) {
+    let (address, _told) = searcher(good);
+    let faults = [SystemFault { call, error: "EINTR", when: "2+3" }];
+    let few = |orders: String| orders.replace("\"sockets\":256", "\"sockets\":64");
+    let mixer = mixer_with(&format!("refusal-{call}"), &list(&[address]), &faults, few);
+    let mut crowd: Vec<Client> = (0..120).map(|_| mixer.client()).collect();
+    for (number, client) in crowd.iter_mut().enumerate() {
+        // Those who were turned away before they asked may have gone by now.
+        let _ = std::io::Write::write_all(client.get_mut(), scan(&format!("c{number}"), &[0]).as_bytes());
+    }
+    let answers = statuses(crowd.iter_mut().map(status));
+    assert_eq!(answers.get(&0), None, "{answers:?}");
+}
+
 /// Who stands in the listener's queue at the stop is let in, though the first accepts fail just then.
 #[test_case("EMFILE")]
 #[test_case("ENFILE")]
