A connection that this machine could not open is tried again, and marks no searcher down

Cause: EADDRNOTAVAIL, ENETUNREACH and EINTR at connect became NoWay, Unreached in the module, which takes the searcher out for five seconds; where it held the only copy every scan was refused for as long. Change: dial_with_room tries a local fault again within the time a link may take, a missing route four times at most (it may be so for good, and is a fact about the way then); what stays a local fault lands as never sent.

--- a/crates/mixer/src/program/links.rs
+++ b/crates/mixer/src/program/links.rs
@@ -1,12 +1,14 @@
 //! One link to a searcher: dialled, then run until it ends.
 
+use super::accepting::span;
 use super::handle::Handle;
 use crate::protocol::frames::{self, Errand, Frame, MOST_FRAME};
 use crate::protocol::http::{get, Message, Reader};
 use crate::protocol::{nodes, MOST_BODY};
 use crate::routing::{CallId, Ending, Event, LinkId, Tongue};
-use crate::transport::{dial, is_short, pump, Inbox, Line, Stop, Stream};
+use crate::transport::{dial, is_local_fault, is_short, pump, Inbox, Line, Stop, Stream};
 use async_io::Timer;
+use fernglade_admission::{AfterFailure, Shortage};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
@@ -174,26 +176,45 @@
     links.end(&handle, link, ending);
 }
 
-/// Where descriptors run short an idle client goes, and its place is waited for.
+/// How often a connection is tried again where this machine has no route: that may be so for good.
+const ROUTE_TRIES: u32 = 4;
+
+/// What this machine could not even try is tried again within the time. Where descriptors run short lastingly an
+/// idle client goes, and its place is waited for.
 async fn dial_with_room(handle: &Handle, to: SocketAddr, within: Duration) -> io::Result<Stream> {
-    let began = Instant::now();
+    let (began, mut shortage, mut tries) = (Instant::now(), Shortage::default(), 0);
     loop {
         let left = within.saturating_sub(began.elapsed());
-        match dial(to, left).await {
-            Err(error) if is_short(&error) && left > ROOM_PAUSE => {
-                handle.feed(Event::Short);
+        let error = match dial(to, left).await {
+            Err(error) if is_local_fault(&error) && left > ROOM_PAUSE => error,
+            dialled => return dialled,
+        };
+        tries += 1;
+        if is_unroutable(&error) && tries > ROUTE_TRIES {
+            return Err(error);
+        }
+        match shortage.failed() {
+            AfterFailure::TryAgain(pause) => drop(Timer::after(span(pause)).await),
+            AfterFailure::MakeRoom => {
+                if is_short(&error) {
+                    handle.feed(Event::Short);
+                }
                 Timer::after(ROOM_PAUSE).await;
             }
-            dialled => return dialled,
         }
     }
 }
 
+fn is_unroutable(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::NetworkUnreachable | io::ErrorKind::NetworkDown)
+}
+
 fn not_up(error: &io::Error) -> Ending {
     match error.kind() {
         io::ErrorKind::ConnectionRefused => Ending::Refused,
         io::ErrorKind::TimedOut => Ending::NeverUp,
-        _ if is_short(error) => Ending::Short,
+        _ if is_unroutable(error) => Ending::NoWay,
+        _ if is_local_fault(error) => Ending::Short,
         _ => Ending::NoWay,
     }
 }
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -10,7 +10,7 @@
 
 pub use bell::Bell;
 pub use inbox::Inbox;
-pub use net::{accept, dial, in_time, is_short, listen, Accepted, Reserve, Stream};
+pub use net::{accept, dial, in_time, is_local_fault, is_short, listen, Accepted, Reserve, Stream};
 pub use outbox::Outbox;
 pub use pump::{linger, pump, Line, Stop};
 pub use system::{read, uninterrupted, write_all};
--- a/crates/mixer/src/transport/net.rs
+++ b/crates/mixer/src/transport/net.rs
@@ -96,3 +96,10 @@
     let errno = Errno::from_io_error(error);
     matches!(errno, Some(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM))
 }
+
+/// This machine could not even try to connect: no port or no route of its own, or a signal came in between.
+pub fn is_local_fault(error: &io::Error) -> bool {
+    let errno = Errno::from_io_error(error);
+    is_short(error)
+        || matches!(errno, Some(Errno::ADDRNOTAVAIL | Errno::NETUNREACH | Errno::NETDOWN | Errno::INTR))
+}
