The accept test counts parts sent once; how they fall to searchers is the ordinary choice

Cause: on a busy machine the test's check that both searchers have work failed in 2 of 11 runs ([299, 1]). Traced: with no fault at all the parts fall 150 to 150 in 28 of 30 runs and 136 to 164 at the most else; a first answer that takes some milliseconds more under load leaves its searcher unchosen for the run's 0.3 s, as the design's least latency has it. That says nothing of accepts. Change: in its place each part goes out exactly once.

--- a/crates/mixer/tests/system_errors.rs
+++ b/crates/mixer/tests/system_errors.rs
@@ -83,8 +83,7 @@
     assert_eq!(statuses(answers), BTreeMap::from([(200, 150)]));
     say(&mut stays, HEALTH);
     assert_eq!(status(&mut stays), 200, "who was inside stays there");
-    let shares = [parts(&at_first), parts(&at_second)];
-    assert!(shares.iter().all(|share| *share > 30), "both searchers have work: {shares:?}");
+    assert_eq!(parts(&at_first) + parts(&at_second), 300, "each part goes out once");
     assert!(log_lines(&mixer) < 10, "{} lines of log", log_lines(&mixer));
 }
 
