Pipelined requests: time counts from arrival, all that was read is answered, an end is looked for

Cause: Clients::asking_since gave now for a request that had stood behind an earlier one; a reply that was the last (desk.reply, at a stop or when its client is sent off) closed the connection over requests already read; clients::has_left peeked one byte, which shows no end behind a full buffer. Change: program/arrivals.rs notes when unread bytes came, and Stirred tells it of a whole request too; a connection that is sent off stays until what was read from it is answered (Connection::ends_with_this); transport::take_rest takes in what came and was not read before a request is acted on, throws away what finds no room, and sees ETIMEDOUT, EHOSTUNREACH and EPIPE as ends too; a next request waits until the answer before it is written, so that one answer in the queue never costs the next. A connection that closes while its client still sends lingers.

--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -129,8 +129,7 @@
 
     pub fn reply(&self, handle: &Handle, client: ClientId, reply: &Reply, last: bool) {
         self.with(client, |connection| {
-            let last =
-                last || connection.is_last.get() || connection.sent_off.get() || connection.line.is_flooded();
+            let last = connection.ends_with_this(last);
             let bytes = match reply {
                 Reply::Answer { whole, values } => scans::answer(*whole, values, last),
                 Reply::Bounce(pause) => bounce(*pause, last),
@@ -140,7 +139,7 @@
                 }
                 Reply::Health(ready) => scans::health(*ready, last),
                 Reply::Figures(figures) => scans::figures(&self.who.tells(figures).text(), last),
-                Reply::Refusal(why) if !last => {
+                Reply::Refusal(why) if !last && !connection.sent_off.get() => {
                     return handle.spawn(connection.clone().blame(scans::refusal(why, last)));
                 }
                 Reply::Refusal(why) => scans::refusal(why, last),
@@ -166,12 +165,36 @@
     pub is_last: Cell<bool>,
     /// It is to go, once what has come from it is answered.
     pub sent_off: Cell<bool>,
+    /// More was read than the request that is being answered.
+    pub unread: Cell<bool>,
 }
 
 impl Connection {
     fn new() -> Self {
         let line = Line::new(MOST_WAITING);
-        Self { line, answering: false.into(), is_last: false.into(), sent_off: false.into() }
+        Self {
+            line,
+            answering: false.into(),
+            is_last: false.into(),
+            sent_off: false.into(),
+            unread: false.into(),
+        }
+    }
+
+    /// Whether the next request may be looked at: the one before it is answered, and its answer written.
+    pub fn takes_request(&self) -> bool {
+        let line = &self.line;
+        !line.is_closing() && !self.answering.get() && !line.is_flooded() && line.outbox.is_empty()
+    }
+
+    /// Whether the connection ends with the answer that is given now. One that is sent off stays until all that was
+    /// read from it is answered.
+    fn ends_with_this(&self, sent_off: bool) -> bool {
+        if self.is_last.get() || self.line.is_flooded() {
+            return true;
+        }
+        self.sent_off.set(self.sent_off.get() || sent_off);
+        self.sent_off.get() && !self.unread.get()
     }
 
     fn send_off(&self) {
--- a/crates/mixer/src/program/listening.rs
+++ b/crates/mixer/src/program/listening.rs
@@ -1,21 +1,24 @@
 //! One client's connection, read: a request at a time, each told of when it is whole.
 
+use super::arrivals::Arrivals;
 use super::clients::{Clients, Connection};
 use super::handle::Handle;
-use crate::protocol::http::{Fault, Reader, MOST_UNREAD};
+use crate::protocol::http::{Fault, Message, Reader, MOST_UNREAD};
 use crate::protocol::scans::{question, Blame, Question};
 use crate::routing::{ClientId, Event};
-use crate::transport::{linger, pump, uninterrupted, Inbox, Stop, Stream};
+use crate::transport::{linger, pump, take_rest, uninterrupted, Inbox, Stop, Stream};
 use fernglade::Span;
-use std::io;
 use std::ops::ControlFlow;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long, and for how many bytes, a client that is still sending is read from so that its error reaches it:
 /// closing upon unread bytes resets the connection, and what was written may be lost with it.
 const LINGER: (Duration, usize) = (Duration::from_millis(500), 512 * 1024);
 
+/// A whole request that stood for less is as good as just come.
+const STOOD_LONG: Duration = Duration::from_millis(1);
+
 /// Reads and writes until the connection is over.
 pub async fn serve(
     clients: Rc<Clients>,
@@ -29,14 +32,18 @@
     let mut listening = Listening {
         clients: clients.clone(),
         reader: Reader::default(),
+        arrivals: Arrivals::default(),
         stood: Some(waited).filter(|_| has_more(&stream)),
+        begun: None,
         stirred: false,
         lost: false,
         stream: &stream,
     };
     let read = |inbox: &mut Inbox| listening.read(&handle, client, &connection, inbox);
-    let stop = pump(&stream, &connection.line, Inbox::new(MOST_UNREAD), read, |_| ()).await;
-    if matches!(stop, Stop::Closed) && (listening.lost || connection.line.is_flooded()) {
+    let written = |_| connection.line.look_again(connection.unread.get());
+    let stop = pump(&stream, &connection.line, Inbox::new(MOST_UNREAD), read, written).await;
+    let still_sends = listening.lost || connection.line.is_flooded() || has_more(&stream);
+    if matches!(stop, Stop::Closed) && still_sends {
         linger(&stream, LINGER.0, LINGER.1).await;
     }
     // Before it is told: the last to leave may end the program.
@@ -48,8 +55,11 @@
     clients: Rc<Clients>,
     stream: &'a Stream,
     reader: Reader,
+    arrivals: Arrivals,
     /// How long the first request may have stood there, where it had begun before its client was let in.
     stood: Option<Duration>,
+    /// When the first byte came of the request that is being read.
+    begun: Option<Instant>,
     /// A request has begun and was told of.
     stirred: bool,
     /// What comes can't be told apart any more.
@@ -64,57 +74,78 @@
         connection: &Connection,
         inbox: &mut Inbox,
     ) -> ControlFlow<()> {
-        // One at a time: the next is looked at when this one's answer is on its way.
-        while !connection.line.is_closing() && !connection.answering.get() && !connection.line.is_flooded() {
-            if let Some(stood) = self.stood.take() {
-                self.stir(handle, client, stood);
-            }
+        self.note_arrivals(inbox);
+        // One at a time: the next is looked at when this one's answer has been written.
+        while connection.takes_request() {
+            let begun = self.begun.or(self.arrivals.oldest());
             let event = match self.reader.read(inbox.unread()) {
                 Ok((used, message)) => {
                     inbox.used(used);
+                    self.arrivals.used(used);
                     let Some(message) = message else {
-                        if !self.stirred && self.reader.is_amid(inbox.unread()) {
-                            self.stir(handle, client, Duration::ZERO);
-                        }
+                        self.begun = begun.filter(|_| self.reader.is_amid(inbox.unread()));
+                        self.tell_begun(handle, client);
                         break;
                     };
                     if !message.keeps() {
                         connection.is_last.set(true);
                     }
-                    match question(&message, self.clients.indices()) {
-                        Ok(Question::Query(request)) => Event::Queried(client, request),
-                        Ok(Question::Scan(ask)) => Event::Asked(client, ask),
-                        Ok(Question::Health) => Event::HealthAsked(client),
-                        Ok(Question::Figures) if self.may_read_figures() => Event::FiguresAsked(client),
-                        // As if there were nothing of that name.
-                        Ok(Question::Figures) => Event::Misasked(client, Blame::Method, false),
-                        Err(blame) => Event::Misasked(client, blame, false),
-                    }
+                    self.event(client, &message)
                 }
                 Err(fault) => {
                     self.lost = true;
+                    connection.is_last.set(true);
                     Event::Misasked(client, blame(fault), true)
                 }
             };
-            self.stirred = false;
             // It left while this waited to be read: nobody is there to be served, and its end comes next.
-            if has_left(self.stream) {
+            if take_rest(self.stream, &connection.line, inbox) {
                 break;
             }
+            self.note_arrivals(inbox);
+            self.begun = begun.filter(|at| at.elapsed() >= STOOD_LONG);
+            self.tell_begun(handle, client);
+            (self.begun, self.stirred) = (None, false);
             connection.answering.set(true);
+            connection.unread.set(!inbox.unread().is_empty());
             handle.feed(event);
         }
-        // All that has come was looked at: a request on its way when its client was sent off has its answer first.
-        if connection.sent_off.get() && !connection.answering.get() {
+        let unread = !inbox.unread().is_empty();
+        connection.unread.set(unread);
+        // What was read is looked at once the answer before it is written: a request on its way when its client was
+        // sent off has its answer first.
+        let looked_at = !connection.answering.get() && (!unread || connection.line.outbox.is_empty());
+        if connection.sent_off.get() && looked_at {
             connection.line.dismiss();
         }
         ControlFlow::Continue(())
     }
 
-    /// A request has begun, and is not known to be whole.
-    fn stir(&mut self, handle: &Handle, client: ClientId, stood: Duration) {
+    fn event(&self, client: ClientId, message: &Message) -> Event {
+        match question(message, self.clients.indices()) {
+            Ok(Question::Query(request)) => Event::Queried(client, request),
+            Ok(Question::Scan(ask)) => Event::Asked(client, ask),
+            Ok(Question::Health) => Event::HealthAsked(client),
+            Ok(Question::Figures) if self.may_read_figures() => Event::FiguresAsked(client),
+            // As if there were nothing of that name.
+            Ok(Question::Figures) => Event::Misasked(client, Blame::Method, false),
+            Err(blame) => Event::Misasked(client, blame, false),
+        }
+    }
+
+    /// Notes when the bytes came that were not there before.
+    fn note_arrivals(&mut self, inbox: &Inbox) {
+        let unread = inbox.unread().len();
+        let stood = if unread > 0 { self.stood.take() } else { None };
+        let now = Instant::now();
+        self.arrivals.note(unread, now.checked_sub(stood.unwrap_or_default()).unwrap_or(now));
+    }
+
+    /// Tells once of the request that has begun, and since when it has stood there.
+    fn tell_begun(&mut self, handle: &Handle, client: ClientId) {
+        let Some(begun) = self.begun.filter(|_| !self.stirred) else { return };
         self.stirred = true;
-        handle.feed(Event::Stirred(client, Span::of_micros(stood.as_micros() as u64)));
+        handle.feed(Event::Stirred(client, Span::of_micros(begun.elapsed().as_micros() as u64)));
     }
 
     fn may_read_figures(&self) -> bool {
@@ -123,15 +154,7 @@
     }
 }
 
-/// Whether a connection's other side has ended it, where nothing stands unread before that end. One look at the
-/// system, as a request and the end right behind it are read one after the other.
-fn has_left(stream: &Stream) -> bool {
-    match uninterrupted(|| stream.get_ref().peek(&mut [0])) {
-        Ok(count) => count == 0,
-        Err(error) => error.kind() == io::ErrorKind::ConnectionReset,
-    }
-}
-
+/// Whether bytes have come that were not taken from the system.
 fn has_more(stream: &Stream) -> bool {
     matches!(uninterrupted(|| stream.get_ref().peek(&mut [0])), Ok(1..))
 }
--- a/crates/mixer/src/program/mod.rs
+++ b/crates/mixer/src/program/mod.rs
@@ -1,6 +1,7 @@
 //! The program: what it is told at start, and the wiring of sockets to the state machine.
 
 mod accepting;
+mod arrivals;
 mod clients;
 mod clock;
 mod handle;
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -12,5 +12,5 @@
 pub use inbox::Inbox;
 pub use net::{accept, dial, in_time, is_local_fault, is_short, listen, Accepted, Reserve, Stream};
 pub use outbox::Outbox;
-pub use pump::{linger, pump, Line, Stop};
+pub use pump::{linger, pump, take_rest, Line, Stop};
 pub use system::{read, uninterrupted, write_all};
--- a/crates/mixer/src/transport/pump.rs
+++ b/crates/mixer/src/transport/pump.rs
@@ -1,10 +1,10 @@
 //! Both directions of one connection, as one task, until either ends.
 
-use super::{in_time, read, Bell, Inbox, Outbox, Stream};
+use super::{in_time, is_short, read, uninterrupted, Bell, Inbox, Outbox, Stream};
 use async_io::Timer;
 use futures_lite::future;
 use std::cell::Cell;
-use std::io;
+use std::io::{self, Read};
 use std::ops::ControlFlow;
 use std::time::Duration;
 
@@ -59,6 +59,13 @@
         self.closing.get()
     }
 
+    /// Has what was read looked at again, if `wanted`.
+    pub fn look_again(&self, wanted: bool) {
+        if wanted || self.flooded.get() {
+            self.look.ring();
+        }
+    }
+
     pub fn is_flooded(&self) -> bool {
         self.flooded.get()
     }
@@ -160,6 +167,30 @@
     Ok(count)
 }
 
+/// How many reads of what no inbox has room for are made in search of the end behind it.
+const MOST_SEARCHED: usize = 64;
+
+/// Takes in what has come and was not read yet, and tells whether the other side has ended the connection behind it.
+/// What finds no room is thrown away, and the line ends with its next answer.
+pub fn take_rest(stream: &Stream, line: &Line, inbox: &mut Inbox) -> bool {
+    let mut socket = stream.get_ref();
+    for _ in 0..MOST_SEARCHED {
+        let full = inbox.is_full();
+        let came = match full {
+            true => uninterrupted(|| socket.read(&mut [0; WASTE.0])),
+            false => uninterrupted(|| socket.read(inbox.space())),
+        };
+        match came {
+            Ok(0) => return true,
+            Ok(_) if full => line.flooded.set(true),
+            Ok(count) => inbox.came(count),
+            // Any other error is the connection's end: reset, or given up by the system.
+            Err(error) => return error.kind() != io::ErrorKind::WouldBlock && !is_short(&error),
+        }
+    }
+    false
+}
+
 /// Ends our direction and throws away a little of what comes from the other, so that what was written is not
 /// lost to a reset.
 pub async fn linger(stream: &Stream, within: Duration, mut bytes: usize) {
--- a/crates/mixer/tests/pipelined.rs
+++ b/crates/mixer/tests/pipelined.rs
@@ -1,10 +1,11 @@
 //! What a client sends behind its own request, and the end of its connection behind that, in the built program.
 
 use fernglade_standins::child::{file, free_address, orders, start, Mixer};
-use fernglade_standins::client::{answer, say, scan, try_answer};
+use fernglade_standins::client::{answer, say, scan, try_answer, HEALTH};
 use fernglade_standins::discovery::{agent, list};
 use fernglade_standins::searcher::{good, searcher, slow};
 use fernglade_standins::PATIENCE;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::mpsc::Receiver;
@@ -84,3 +85,19 @@
     assert!(told_ms(&first) <= 1000, "{first}");
     assert!(told_ms(&second) <= 1000 - 300 + 150, "{second}");
 }
+
+/// A request that stood behind one for longer than its own time is answered at once, and goes nowhere.
+#[test]
+fn a_request_whose_time_ran_out_behind_another_is_refused_at_once() {
+    let (address, told) = searcher(slow);
+    let mixer = mixer("out-of-time", address);
+    let mut client = mixer.client();
+    let short = scan("b", &[0]).replace("X-Timeout: 4.0", "X-Timeout: 0.2");
+    say(&mut client, scan("a", &[0]) + &short + HEALTH);
+    let statuses = [0; 3].map(|_| answer(&mut client).0);
+    assert_eq!(statuses, [200, 503, 200]);
+    let parts = told.try_iter().filter(|(letter, rest)| *letter == b'm' && rest.starts_with("b.")).count();
+    assert_eq!(parts, 0);
+    let _ = client.get_mut().shutdown(std::net::Shutdown::Both);
+    assert_eq!(client.read(&mut [0]).unwrap_or(0), 0);
+}
