--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -2,6 +2,7 @@
 
 mod host;
 mod many;
+mod slow_start;
 
 use fernglade::choice::RelayBudget;
 use fernglade::{
