--- a/tests/slow_start/mod.rs
+++ b/tests/slow_start/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::host::{bare, mixer_of, whole_only, Relay, Story};
 use fernglade::choice::RelayBudget;
-use fernglade::{Landing, Searcher};
+use fernglade::{Landing, Listing, Searcher, Span};
 use test_case::test_case;
 
 /// The work of a part in milliseconds, on one of two cores.
@@ -32,6 +32,12 @@
     OutOfReach,
     /// The other copies take four times as long from its start on.
     OthersSlow,
+    /// The mixers' wall clocks are minutes ahead of the one that told the start.
+    ClockAhead,
+    /// The same, and the start stands in the first list that the mixers hear.
+    ClockAheadAtStart,
+    /// The mixers' wall clocks are an hour behind.
+    ClockBehind,
 }
 
 /// A searcher of two cores: what comes waits for one of them.
@@ -72,12 +78,22 @@
         Self { searchers: Default::default(), out: none, seen: vec![0; size as usize], mixers }
     }
 
-    fn list(&mut self, fresh: &[u32]) {
+    /// Tells all mixers of the three searchers, in one list; the fresh ones started now, by the teller's clock.
+    fn list(&mut self, fresh: &[u32], trouble: Trouble) {
         for story in &mut self.mixers {
-            let now = Some(story.host.now);
-            story.list(true, &[(0, true), (1, true), (2, true)], None);
-            let started: Vec<(u32, bool)> = fresh.iter().map(|id| (*id, true)).collect();
-            story.list(false, &started, now);
+            let now = story.host.now;
+            let started = match trouble {
+                Trouble::ClockAhead | Trouble::ClockAheadAtStart => now.less(Span::of_millis(100_000)),
+                Trouble::ClockBehind => now + Span::of_millis(3_600_000),
+                _ => now,
+            };
+            let line = |id: u32| Listing {
+                searcher: Searcher(id),
+                ready: true,
+                started: Some(started).filter(|_| fresh.contains(&id)),
+                ..Listing::default()
+            };
+            story.mixer.listed(&mut story.host, true, &[line(0), line(1), line(2)]);
         }
     }
 
@@ -116,13 +132,14 @@
     let (mut fleet, mut came) = (Fleet::new(size, seed), Vec::new());
     let mut asked = vec![0.0; size as usize];
     let others_cold = matches!(trouble, Trouble::AllStarted);
-    if trouble != Trouble::MixersStarted {
-        fleet.list(&[]);
+    let from_nothing = matches!(trouble, Trouble::MixersStarted | Trouble::ClockAheadAtStart);
+    if !from_nothing {
+        fleet.list(&[], trouble);
     }
     for now in (0..SETTLED + WATCHED).step_by(STEP as usize) {
         let since = now.checked_sub(SETTLED);
         if now == SETTLED {
-            fleet.list(if others_cold { &[0, 1, 2] } else { &[0] });
+            fleet.list(if others_cold { &[0, 1, 2] } else { &[0] }, trouble);
         }
         let rate = match (trouble, since) {
             (Trouble::Burst, Some(0..8_000)) => 0.5,
@@ -135,13 +152,17 @@
             _ => false,
         };
         let work = |to: u32| match trouble {
-            Trouble::OthersSlow if to != 0 && since.is_some() => 4 * WORK,
+            Trouble::OthersSlow | Trouble::ClockAhead | Trouble::ClockAheadAtStart
+                if to != 0 && since.is_some() =>
+            {
+                4 * WORK
+            }
             _ => WORK,
         };
         for (number, asked) in asked.iter_mut().enumerate() {
             fleet.mixers[number].pass_until(now);
             fleet.land(number, now, fails);
-            if trouble == Trouble::MixersStarted && since.is_none() {
+            if from_nothing && since.is_none() {
                 continue;
             }
             let checks = std::mem::take(&mut fleet.mixers[number].host.checks);
@@ -189,7 +210,9 @@
 fn in_no_window_more_reaches_a_searcher_that_has_just_started_than_it_bears(size: u32, per_second: f64) {
     use Trouble::*;
     let mut over = Vec::new();
-    for trouble in [None, Burst, AllStarted, OthersGone, MixersStarted, OutOfReach, OthersSlow] {
+    let clocks = [ClockAhead, ClockAheadAtStart, ClockBehind];
+    let others = [None, Burst, AllStarted, OthersGone, MixersStarted, OutOfReach, OthersSlow];
+    for trouble in others.into_iter().chain(clocks) {
         for seed in 1..=3 {
             let came = arrivals(size, per_second, seed, trouble);
             let (end, count, most) = worst(&came);
@@ -210,3 +233,13 @@
         assert!(came.len() > 100, "{size} mixers: {} parts in 20 s", came.len());
     }
 }
+
+/// A start that is told for an hour from now is none that keeps a searcher cold for an hour.
+#[test]
+fn a_searcher_whose_clock_is_ahead_is_warm_after_its_time() {
+    for (size, per_second) in [(1, 45.0), (30, 1.5)] {
+        let came = arrivals(size, per_second, 7, Trouble::ClockBehind);
+        let late = came.iter().filter(|at| **at >= 15_000).count();
+        assert!(late > 50, "{size} mixers: {late} parts in the last five seconds");
+    }
+}
