A searcher's start is taken from when its list came, not from the wall clock

Cause: Mixer::listed compared startedAtMs with a wall time read once at this mixer's start; a clock that is an hour ahead made every start old, one that is behind kept a searcher cold for an hour; Mixer::checked did the same. Change: SlowStart::start. What a list after the first tells anew has happened since the list before it, and slow start begins with its coming; in the first list that is heard starts are compared with the newest of it alone, which may be just now (up to an hour and some back); the list of the configuration is Mixer::remembered, as its age is not known. listed looks its searchers up in a set (each was compared with each). Hurts after a mixer's own start by a slow start of the searchers that came last, and by the time that a list comes late.

--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -138,7 +138,9 @@
     /// The list as it was last had, and the first watch.
     pub fn begin(&mut self, known: &News, discovery: SocketAddr, now: Moment) -> Vec<Effect> {
         self.desk.now = now;
-        self.hear(known);
+        let listings = self.desk.roll.take(known);
+        self.mixer.remembered(&mut self.desk, &listings);
+        self.desk.keep_drains();
         self.desk.roll.move_to(discovery);
         self.mixer.watch(&mut self.desk, 0);
         self.settle()
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -18,10 +18,10 @@
 //! 6. an early end for a scan that can no longer be answered (`Mixer::settle`)
 
 use crate::chance::Chance;
-use crate::slow_start::{Allowance, SlowStart};
+use crate::slow_start::{Allowance, SlowStart, StartsTold};
 use crate::*;
 use slab::Slab;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::mem::{replace, take};
 
 /// What to do with a result, left behind by the step that asked for it.
@@ -190,9 +190,10 @@
 
 impl Roster {
     pub fn new(seed: u64, cells: u32, width: u32, per_call: usize, may_check: bool, cold: SlowStart) -> Self {
-        let (cells, mut chance, never) = (cells.max(1), Chance::new(seed), Span::of_micros(u64::MAX));
-        // The first few numbers of like seeds are alike.
-        let turn = (0..8).map(|_| chance.below(1 << 20)).last().unwrap_or(0) as f64 / f64::from(1 << 20);
+        let (cells, chance, never) = (cells.max(1), Chance::new(seed), Span::of_micros(u64::MAX));
+        // Of a row of its own, so that it changes no other draw; the first few numbers of like seeds are alike.
+        let mut turns = Chance::new(!seed);
+        let turn = (0..8).map(|_| turns.below(1 << 20)).last().unwrap_or(0) as f64 / f64::from(1 << 20);
         Self { cells, width, per_call, may_check, cold, chance, turn, idle_close: never, ..Self::default() }
     }
 
@@ -548,6 +549,8 @@
     pub beside_queue: bool,
     /// The drains' grace, where changes of the list are pushed to an agent on this machine.
     pub pushed: Option<Span>,
+    /// Discovery has been heard since this mixer's start.
+    has_list: bool,
     /// What is done as one of a fleet, where the operator wants it: asked before the mixer's own limits.
     fleet: Option<Box<dyn Fleet>>,
 }
@@ -575,16 +578,32 @@
         self.later(host, pause, |_, host| host.watch_list());
     }
 
-    /// News of searchers; with `whole` who is not in it is gone.
+    /// Discovery's word on searchers; with `whole` who is not in it is gone.
     pub fn listed(&mut self, host: &mut dyn Host, whole: bool, listings: &[Listing]) {
+        self.apply(host, whole, listings);
+        self.has_list = true;
+    }
+
+    /// The list as it was had before this mixer's start: how old it is nobody knows.
+    pub fn remembered(&mut self, host: &mut dyn Host, listings: &[Listing]) {
+        self.apply(host, true, listings);
+    }
+
+    fn apply(&mut self, host: &mut dyn Host, whole: bool, listings: &[Listing]) {
         let now = host.now();
         self.roster.begun.get_or_insert(now);
+        let listed: BTreeSet<Searcher> = listings.iter().map(|told| told.searcher).collect();
         let all = self.roster.seats.values().filter(|_| whole).map(|s| Listing { ready: false, ..s.told });
-        let gone: Vec<Listing> = all.filter(|g| listings.iter().all(|l| l.searcher != g.searcher)).collect();
+        let gone: Vec<Listing> = all.filter(|told| !listed.contains(&told.searcher)).collect();
+        let list = match self.has_list {
+            true => StartsTold::SinceLastList,
+            false => StartsTold::First { newest: listings.iter().filter_map(|told| told.started).max() },
+        };
         for told in gone.into_iter().chain(listings.iter().copied()) {
-            let (before, cold) = (self.roster.set_home(told), self.roster.cold.cold);
-            let news = told.started.filter(|at| before.started != Some(*at) && now.since(*at) < cold);
-            news.iter().for_each(|since| self.roster.renew(now, told.searcher, *since));
+            let before = self.roster.set_home(told);
+            let anew = told.started.filter(|at| before.started != Some(*at));
+            let start = anew.and_then(|at| self.roster.cold.start(at, list, now));
+            start.iter().for_each(|since| self.roster.renew(now, told.searcher, *since));
         }
         self.roster.seats.retain(|_, seat| seat.told.ready || !seat.out.is_empty());
         self.roster.settle_homes();
@@ -669,8 +688,7 @@
         let Some(seat) = self.roster.seats.get_mut(&searcher) else { return };
         seat.asked = seat.asked.map(|(at, told)| (at, told || there));
         if there && seat.down.take().is_some() {
-            let since = seat.told.started.filter(|at| now.since(*at) < CHECK_EVERY).unwrap_or(now);
-            self.roster.renew(now, searcher, since);
+            self.roster.renew(now, searcher, now);
         }
     }
 
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -8,6 +8,18 @@
 
 use crate::{Moment, Span};
 
+/// How far a wall clock is taken to be off at the most: an hour and some.
+const CLOCK_OFF: Span = Span::of_millis(3_700_000);
+
+/// A list that may tell of starts: by the wall clock of another machine, whose distance from this mixer's nobody knows.
+#[derive(Clone, Copy)]
+pub enum StartsTold {
+    /// A list after the first: what it tells anew has happened since the one before. The clock is not asked.
+    SinceLastList,
+    /// The first list that is heard: starts are compared with its newest one alone, which may be just now.
+    First { newest: Option<Moment> },
+}
+
 /// The rule's figures, and the number of mixers that share the count.
 #[derive(Default)]
 pub struct SlowStart {
@@ -39,6 +51,23 @@
         now.since(since) <= self.cold + self.fall
     }
 
+    /// When a searcher started at the latest whose start is told anew; none where it is warm. Guards against clocks
+    /// that were stepped, here or there. Hurts after a mixer's own start, by a slow start of the searchers that came
+    /// last, and where a list comes late, by that time once more.
+    pub fn start(&self, told: Moment, list: StartsTold, now: Moment) -> Option<Moment> {
+        match list {
+            // Where nothing is said of cold ones none is.
+            _ if self.cold == Span::ZERO => None,
+            StartsTold::SinceLastList => Some(now),
+            StartsTold::First { newest } => {
+                let newest = newest.unwrap_or(told).max(told);
+                let age = newest.since(told);
+                let may_be_new = now.since(newest) <= CLOCK_OFF && age < self.cold;
+                may_be_new.then(|| now.less(age))
+            }
+        }
+    }
+
     /// How many parts of this much work it bears in the rule's window, as it stood when the window began.
     fn calls(&self, since: Moment, now: Moment, work: f64) -> f64 {
         let age = now.since(since).less(self.fall).as_f64() / self.cold.as_f64().max(1.0);
