A repeat begins within its window or not at all; the time told is as old as a frame's first byte

Cause: Mixer::another checks the window when it decides; the part may then wait up to limits.dial_timeout for its link, or behind others for a searcher that does not read. Desk::hand_over worked out the time told, and the frame may wait in the outbox. Change: Host::begin_by, set for each repeat of a labelled part; the desk lands what waits for a link as never sent and takes back what is not begun (Alarm::BeginBy). Outbox::push_worded words a frame when its first byte is about to go. startedAtMs with decimals is read as a start (it was taken for long ago). Left: a frame half written to a searcher that stops reading in its midst; cutting its link would fail what else is out on it.

--- a/crates/mixer/src/program/links.rs
+++ b/crates/mixer/src/program/links.rs
@@ -62,9 +62,10 @@
         let Some(near) = self.near(link) else { return };
         match (near.tongue, errands) {
             (Tongue::Frames, errands) => {
-                let errands = errands.to_vec();
-                let word = move || frames::call(&errands);
-                if !near.line.outbox.push_worded(call.0, word) {
+                let (errands, size, handed_over) =
+                    (errands.to_vec(), frames::call_size(errands), Instant::now());
+                let word = move || frames::call(&errands, handed_over.elapsed().as_millis() as u64);
+                if !near.line.outbox.push_worded(call.0, size, word) {
                     self.end(handle, link, Ending::Stuck);
                 }
             }
--- a/crates/mixer/src/protocol/frames.rs
+++ b/crates/mixer/src/protocol/frames.rs
@@ -4,6 +4,8 @@
 
 /// A line before a value.
 const MOST_LINE: usize = 1024;
+/// The rest of a part's line in a call: its shard, its time, the length of its text.
+const CALL_LINE: usize = 48;
 /// What the length of one frame may count.
 pub const MOST_FRAME: usize = 1 + MOST_LINE + MOST_BODY;
 
@@ -103,16 +105,24 @@
     bytes
 }
 
-pub fn call(errands: &[Errand]) -> Vec<u8> {
+/// A call that waited so long since its parts' times were taken.
+pub fn call(errands: &[Errand], waited_ms: u64) -> Vec<u8> {
     let mut body = String::new();
     for errand in errands {
         let label = errand.label.as_ref().map_or(String::new(), |label| format!(",k={label}"));
         let Errand { id, shard, waits_ms, text, .. } = errand;
+        let waits_ms = waits_ms.saturating_sub(waited_ms).max(1);
         body.push_str(&format!("{id} {shard} d={waits_ms}{label} {}\n{text}", text.len()));
     }
     frame(b'm', body.as_bytes())
 }
 
+/// About how many bytes a call takes.
+pub fn call_size(errands: &[Errand]) -> usize {
+    let label = |errand: &Errand| errand.label.as_ref().map_or(0, String::len);
+    errands.iter().map(|errand| errand.id.len() + label(errand) + errand.text.len() + CALL_LINE).sum()
+}
+
 pub fn give_up(id: &str) -> Vec<u8> {
     frame(b'n', id.as_bytes())
 }
@@ -136,10 +146,10 @@
         let id = "9b1f03aa5c7e2d41.3".to_string();
         let errand = Errand { id, shard: 3, waits_ms: 240, label, text: "c41e77d0".into(), asked: None };
         let line = "9b1f03aa5c7e2d41.3 3 d=240,k=5c0f6e1a2b3d4c59a8b7c6d5e4f30211 8\nc41e77d0";
-        assert_eq!(call(std::slice::from_ref(&errand)), said(b'm', line));
+        assert_eq!(call(std::slice::from_ref(&errand), 0), said(b'm', line));
         let plain = Errand { label: None, shard: 4, text: "é\n".into(), ..errand.clone() };
         let second = "9b1f03aa5c7e2d41.3 4 d=240 3\né\n";
-        assert_eq!(call(&[errand, plain]), said(b'm', &format!("{line}{second}")));
+        assert_eq!(call(&[errand, plain], 0), said(b'm', &format!("{line}{second}")));
         assert_eq!((give_up("a.3"), check()), (said(b'n', "a.3"), said(b'o', "")));
     }
 
--- a/crates/mixer/src/protocol/lists.rs
+++ b/crates/mixer/src/protocol/lists.rs
@@ -42,7 +42,8 @@
     };
     let address = text("hostPort")?;
     let cell = json.get("cell").and_then(Json::whole).and_then(|cell| u32::try_from(cell).ok());
-    let started = json.get("startedAtMs").and_then(Json::whole).filter(|at| *at > 0);
+    // A start that is no whole number is still one: who started is not to be taken for long warm.
+    let started = json.get("startedAtMs").and_then(Json::number).filter(|at| *at > 0.0).map(|at| at as u64);
     Ok(Row {
         name: text("instanceId")?.into(),
         address: address.parse().map_err(|_| format!("hostPort is no address: {address:.60}"))?,
@@ -88,6 +89,8 @@
         }
         let started = read(&PAGE.replace("Ms\":0", "Ms\":1764598377123")).unwrap().rows[0].started;
         assert_eq!(started, Some(Moment::at_micros(1_764_598_377_123_000)));
+        let started = read(&PAGE.replace("Ms\":0", "Ms\":1764598377123.5")).unwrap().rows[0].started;
+        assert_eq!(started, Some(Moment::at_micros(1_764_598_377_123_000)), "with decimals");
     }
 
     #[test_case("\"generation\":41", "\"generation\":-1", "generation is not a whole number")]
--- a/crates/mixer/src/routing/alarms.rs
+++ b/crates/mixer/src/routing/alarms.rs
@@ -11,6 +11,8 @@
     Wake(Ticket),
     /// A relay's time is over, if it is still the one that is due then.
     Overdue(Ticket, Moment),
+    /// A relay that waits to be sent by then, if it is still the one of that time, is not to be.
+    BeginBy(Ticket, Moment),
     /// What a client has been about since then is to be whole.
     HalfAsked(ClientId, Moment),
     /// Somebody at the door may have waited long enough, if this is still what is due.
--- a/crates/mixer/src/routing/desk.rs
+++ b/crates/mixer/src/routing/desk.rs
@@ -166,6 +166,19 @@
         }
     }
 
+    /// A ticket may be let again: the relay is meant that left then. What waits for a link is never handed over, what
+    /// waits to be written is taken back.
+    pub fn too_late_to_begin(&mut self, ticket: Ticket, left: Moment) {
+        if self.relays.get(&ticket).is_none_or(|relay| relay.left != left) {
+            return;
+        }
+        match self.stand(ticket) {
+            Some(Stand::Out) => {}
+            Some(Stand::Handed | Stand::Recalled) => self.take_back(ticket),
+            Some(Stand::Held) | None => self.give_up(ticket, Landing::Unsent),
+        }
+    }
+
     /// A part that is out on a link, by its id.
     pub fn find(&self, link: LinkId, id: &str) -> Option<(CallId, Ticket)> {
         let named = |ticket: &&Ticket| self.relays.get(ticket).is_some_and(|relay| relay.errand.id == id);
@@ -378,6 +391,12 @@
         self.alarms.set(due, Alarm::Overdue(ticket, due));
     }
 
+    fn begin_by(&mut self, relay: Ticket, by: Moment) {
+        if let Some(left) = self.relays.get(&relay).map(|relay| relay.left) {
+            self.alarms.set(by, Alarm::BeginBy(relay, left));
+        }
+    }
+
     /// What was written is called off only where the platform lets us; what was not is nobody's yet, and is taken
     /// back whatever the platform says.
     fn call_off(&mut self, ticket: Ticket) {
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -463,6 +463,7 @@
             match alarm {
                 Alarm::Wake(ticket) => self.mixer.woken(&mut self.desk, ticket),
                 Alarm::Overdue(ticket, due) => self.desk.overdue(ticket, due),
+                Alarm::BeginBy(ticket, left) => self.desk.too_late_to_begin(ticket, left),
                 Alarm::HalfAsked(client, since) => {
                     if self.desk.clients.is_half_asked(client, since) {
                         self.desk.clients.set(client, Doing::Leaving, self.desk.now);
--- a/crates/mixer/src/transport/outbox.rs
+++ b/crates/mixer/src/transport/outbox.rs
@@ -7,9 +7,20 @@
 use std::collections::VecDeque;
 use std::io::{self, Write};
 
+/// Says what a frame holds, at the moment when it begins to go.
+type Wording = Box<dyn Fn() -> Vec<u8>>;
+
+struct Frame {
+    tag: u64,
+    bytes: Vec<u8>,
+    /// Of how many bytes the queue's bound is kept: another wording may be shorter.
+    held: usize,
+    wording: Option<Wording>,
+}
+
 #[derive(Default)]
 struct Queue {
-    frames: VecDeque<(u64, Vec<u8>)>,
+    frames: VecDeque<Frame>,
     /// How many bytes of the first frame have gone.
     begun: usize,
     held: usize,
@@ -28,29 +39,33 @@
 
     /// False where the bound is reached: the other side does not read. One frame is taken whatever its size.
     pub fn push(&self, tag: u64, frame: Vec<u8>) -> bool {
+        self.push_frame(Frame { tag, held: frame.len(), bytes: frame, wording: None })
+    }
+
+    /// The same for a frame of about this size that is worded by `word` when its first byte is about to go.
+    pub fn push_worded(&self, tag: u64, held: usize, word: impl Fn() -> Vec<u8> + 'static) -> bool {
+        self.push_frame(Frame { tag, held, bytes: Vec::new(), wording: Some(Box::new(word)) })
+    }
+
+    fn push_frame(&self, frame: Frame) -> bool {
         let mut queue = self.queue.borrow_mut();
-        if queue.held > 0 && queue.held + frame.len() > self.most {
+        if queue.held > 0 && queue.held + frame.held > self.most {
             return false;
         }
-        queue.held += frame.len();
-        queue.frames.push_back((tag, frame));
+        queue.held += frame.held;
+        queue.frames.push_back(frame);
         self.bell.ring();
         true
     }
 
-    /// The same for a frame that is worded by `word`.
-    pub fn push_worded(&self, tag: u64, word: impl Fn() -> Vec<u8> + 'static) -> bool {
-        self.push(tag, word())
-    }
-
     /// Takes a frame back; false where it has begun to go, or is gone.
     pub fn withdraw(&self, tag: u64) -> bool {
         let queue = &mut *self.queue.borrow_mut();
-        let Some(at) = queue.frames.iter().position(|(other, _)| *other == tag) else { return false };
+        let Some(at) = queue.frames.iter().position(|frame| frame.tag == tag) else { return false };
         if at == 0 && queue.begun > 0 {
             return false;
         }
-        queue.held -= queue.frames.remove(at).map_or(0, |(_, frame)| frame.len());
+        queue.held -= queue.frames.remove(at).map_or(0, |frame| frame.held);
         true
     }
 
@@ -72,27 +87,28 @@
     }
 
     fn write_once(&self, socket: &mut impl Write) -> io::Result<usize> {
-        let queue = self.queue.borrow();
-        match queue.frames.front() {
-            Some((_, frame)) => match socket.write(&frame[queue.begun..]) {
-                Ok(0) => Err(io::ErrorKind::WriteZero.into()),
-                wrote => wrote,
-            },
-            // Taken back while this waited for room.
-            None => Ok(0),
+        let queue = &mut *self.queue.borrow_mut();
+        // Taken back while this waited for room.
+        let Some(first) = queue.frames.front_mut() else { return Ok(0) };
+        if let Some(word) = first.wording.as_ref().filter(|_| queue.begun == 0) {
+            first.bytes = word();
+        }
+        match socket.write(&first.bytes[queue.begun..]) {
+            Ok(0) => Err(io::ErrorKind::WriteZero.into()),
+            wrote => wrote,
         }
     }
 
     fn advance(&self, count: usize) -> Option<u64> {
         let queue = &mut *self.queue.borrow_mut();
-        let (_, first) = queue.frames.front()?;
+        let first = queue.frames.front()?;
         queue.begun += count;
-        if queue.begun < first.len() {
+        if queue.begun < first.bytes.len() {
             return None;
         }
-        let (tag, frame) = queue.frames.pop_front()?;
-        (queue.begun, queue.held) = (0, queue.held - frame.len());
-        Some(tag)
+        let gone = queue.frames.pop_front()?;
+        (queue.begun, queue.held) = (0, queue.held - gone.held);
+        Some(gone.tag)
     }
 }
 
--- a/crates/mixer/src/transport/outbox/tests.rs
+++ b/crates/mixer/src/transport/outbox/tests.rs
@@ -40,7 +40,7 @@
     let worded = std::rc::Rc::new(std::cell::Cell::new(1));
     let tells = worded.clone();
     outbox.push(1, vec![0; 4]);
-    outbox.push_worded(2, move || vec![tells.get(); 4]);
+    outbox.push_worded(2, 4, move || vec![tells.get(); 4]);
     let step = |bytes: usize| outbox.advance(outbox.write_once(&mut Narrow(bytes)).unwrap());
     worded.set(2);
     assert_eq!(step(4), Some(1));
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -777,6 +777,10 @@
         (part.out, part.lost) = (Some((relay, now)), false);
         part.may_have_run = ran_before.or(Some(now));
         host.relay(relay, id, at, to, scan.ends.since(now));
+        // A repeat may wait for a connection, or behind others, until its label is forgotten.
+        if let (Effect::Labelled(window), Some(first)) = (self.types[scan.traffic_type].effect, ran_before) {
+            host.begin_by(relay, (first + window).less(self.lead));
+        }
         if self.roster.seats.get(&to).is_some_and(|seat| seat.down.is_some()) {
             self.check_later(host, to, false);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -207,6 +207,9 @@
     fn now(&self) -> Moment;
     /// Sends a part; its end comes back as `Mixer::landed`.
     fn relay(&mut self, ticket: Ticket, scan: ScanId, part: usize, to: Searcher, patience: Span);
+    /// A relay that has not begun to go by then is never sent; its end comes back as ever. A front that sends at
+    /// once has nothing to do.
+    fn begin_by(&mut self, _relay: Ticket, _by: Moment) {}
     /// Ends the wait on a relay, where the front can; its end still comes back.
     fn call_off(&mut self, relay: Ticket);
     /// Answers from the parts honoured; `last` is false where a second step follows.
