--- /dev/null
+++ b/crates/mixer/tests/scale.rs
@@ -0,0 +1,117 @@
+//! Sixteen times the searchers: what a mixer needs may grow a little, and every request is answered.
+
+use fernglade_standins::child::{file, free_address, orders, start, Mixer};
+use fernglade_standins::client::{say, scan, try_answer, Client};
+use fernglade_standins::discovery::Agent;
+use fernglade_standins::searcher::{good, searcher_on};
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Requests, and how many each second.
+const REQUESTS: u32 = 240;
+const PER_SECOND: u32 = 60;
+const CLIENTS: u32 = 12;
+
+/// What it took to serve them.
+#[derive(Debug)]
+struct Needs {
+    unanswered: usize,
+    processor: Duration,
+    kilobytes: u64,
+    descriptors: usize,
+}
+
+/// One of very many searchers, all of which are one listener on any loopback address.
+fn row(number: u32, cells: u32, port: u16, state: &str) -> String {
+    let address = SocketAddr::from(([127, 3, (number >> 8) as u8, number as u8], port));
+    let cell = number % cells;
+    format!(
+        r#"{{"instanceId":"s{number}","hostPort":"{address}","zone":"a","cell":{cell},"lifecycle":"{state}","startedAtMs":0}}"#
+    )
+}
+
+fn list(generation: u32, whole: bool, rows: &[String]) -> String {
+    format!(r#"{{"generation":{generation},"reset":{whole},"instances":[{}]}}"#, rows.join(","))
+}
+
+/// Serves requests of eight parts before so many searchers, of which one is replaced each half second.
+fn needs(searchers: u32, cells: u32) -> Needs {
+    let listener = TcpListener::bind("0.0.0.0:0").expect("a port");
+    let port = listener.local_addr().expect("its address").port();
+    let _told = searcher_on(listener, good);
+    let agent = Agent::default();
+    let rows: Vec<String> = (0..searchers).map(|number| row(number, cells, port, "SERVING")).collect();
+    let whole = list(1, true, &rows);
+    let at = free_address();
+    let change = [("\"cells\":1", format!("\"cells\":{cells}")), ("\"slabs\":4", "\"slabs\":128".into())];
+    let text = orders(&at.to_string(), agent.at(), &whole);
+    let text = change.iter().fold(text, |text, (from, to)| text.replace(from, to));
+    let program = Path::new(env!("CARGO_BIN_EXE_fernglade-mixer"));
+    let mixer = start(program, 4096, file(&format!("scale-{searchers}-{cells}.json"), &text), None, at);
+    let replacing = thread::spawn(move || {
+        let mut call = agent.call().answer(&whole);
+        for replaced in 0..REQUESTS / PER_SECOND * 2 {
+            thread::sleep(Duration::from_millis(500));
+            let (old, new) = (replaced * 7 % searchers, searchers + replaced);
+            let new = row(new, cells, port, "SERVING")
+                .replace(&format!("\"cell\":{}", new % cells), &format!("\"cell\":{}", old % cells));
+            call = call.answer(&list(2 + replaced, false, &[row(old, cells, port, "DELETED"), new]));
+        }
+        call
+    });
+    let (_, before, _) = mixer.descriptors_time_memory();
+    let unanswered = ask_all(&mixer);
+    let (descriptors, after, kilobytes) = mixer.descriptors_time_memory();
+    drop(replacing.join().expect("the mixer asks on"));
+    let processor = Duration::from_millis((after - before) * 10);
+    Needs { unanswered, processor, kilobytes, descriptors }
+}
+
+/// Each client asks at times of its own; how many had no answer of 200.
+fn ask_all(mixer: &Mixer) -> usize {
+    let began = Instant::now();
+    let ask = move |at: u32, mut client: Client| {
+        let mut unanswered = 0;
+        for number in (at..REQUESTS).step_by(CLIENTS as usize) {
+            thread::sleep((Duration::from_secs(1) * number / PER_SECOND).saturating_sub(began.elapsed()));
+            let shards: Vec<u32> = (0..8).map(|part| (number * 8 + part * 5) % 128).collect();
+            say(&mut client, scan(&format!("r{number}"), &shards));
+            unanswered += usize::from(!try_answer(&mut client).is_ok_and(|answer| answer.0 == 200));
+        }
+        unanswered
+    };
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|at| (at, mixer.client()))
+        .map(|(at, client)| thread::spawn(move || ask(at, client)))
+        .collect();
+    clients.into_iter().map(|client| client.join().expect("a client")).sum()
+}
+
+/// The table of the standing test, with what one run on a busy machine may add.
+fn grows_little(usual: &Needs, large: &Needs) {
+    println!("usual {usual:?}\nlarge {large:?}");
+    assert_eq!(large.unanswered, 0, "{large:?}");
+    assert!(
+        large.processor <= usual.processor * 14 / 10 + Duration::from_millis(120 + 150),
+        "{usual:?} {large:?}"
+    );
+    assert!(large.kilobytes <= usual.kilobytes * 3 / 2 + 8_000 + 13_000, "{usual:?} {large:?}");
+    assert!(large.descriptors <= usual.descriptors * 2 + 40, "{usual:?} {large:?}");
+}
+
+#[test]
+fn sixteen_times_the_searchers_in_as_many_cells_need_little_more() {
+    grows_little(&needs(200, 8), &needs(3200, 8));
+}
+
+#[test]
+fn sixteen_times_the_searchers_in_one_cell_need_little_more() {
+    grows_little(&needs(200, 1), &needs(3200, 1));
+}
+
+#[test]
+fn sixteen_times_the_searchers_in_sixteen_times_the_cells_need_little_more() {
+    grows_little(&needs(200, 8), &needs(3200, 128));
+}
