A choice among a dozen replicas of a large cell, in an order of each mixer's own

Cause: Roster::closed, room, place and again walked all holders of a shard for each part, Mixer::taken all searchers for each scan (seems_dead), each change of the list all of them several times (settle_homes, Numbers::keep, retain). Change: src/replica_set.rs: of a cell with more than a dozen ready replicas a mixer chooses among as many as cover the cell four times over all mixers, 12 to 64, the next in its order stepping in for who is down; slow start's count is shared by as many as may choose one. Those at which parts were lost, and those that leave, are kept apart; changes touch what they name. Hurts where a dozen are all full and the rest idle.

--- a/crates/fronts/src/ids.rs
+++ b/crates/fronts/src/ids.rs
@@ -65,6 +65,13 @@
 }
 
 impl<K: Ord + Clone> Numbers<K> {
+    /// Who had this name has it no more.
+    pub fn remove(&mut self, name: &K) -> Option<Searcher> {
+        let number = self.numbers.remove(name)?;
+        self.names.remove(&number);
+        Some(number)
+    }
+
     pub fn number(&mut self, name: &K) -> Searcher {
         if let Some(known) = self.numbers.get(name) {
             return *known;
--- a/crates/mixer/src/routing/roll.rs
+++ b/crates/mixer/src/routing/roll.rs
@@ -62,8 +62,10 @@
             self.keep(|name| named.contains(name));
         }
         let listings = news.rows.iter().map(|row| self.list(row)).collect();
-        let gone: BTreeSet<&String> = news.rows.iter().filter(|row| row.gone).map(|row| &row.name).collect();
-        self.keep(|name| !gone.contains(name));
+        for gone in news.rows.iter().filter(|row| row.gone) {
+            let searcher = self.numbers.remove(&gone.name);
+            searcher.iter().for_each(|searcher| drop(self.lines.remove(searcher)));
+        }
         listings
     }
 
--- a/crates/mixer/tests/scale.rs
+++ b/crates/mixer/tests/scale.rs
@@ -45,11 +45,15 @@
     let rows: Vec<String> = (0..searchers).map(|number| row(number, cells, port, "SERVING")).collect();
     let whole = list(1, true, &rows);
     let at = free_address();
-    let change = [("\"cells\":1", format!("\"cells\":{cells}")), ("\"slabs\":4", "\"slabs\":128".into())];
+    let change = [
+        ("\"cells\":1", format!("\"cells\":{cells}")),
+        ("\"slabs\":4", "\"slabs\":128".into()),
+        ("\"fleet_size\":1", "\"fleet_size\":300".into()),
+    ];
     let text = orders(&at.to_string(), agent.at(), &whole);
     let text = change.iter().fold(text, |text, (from, to)| text.replace(from, to));
     let program = Path::new(env!("CARGO_BIN_EXE_fernglade-mixer"));
-    let mixer = start(program, 4096, file(&format!("scale-{searchers}-{cells}.json"), &text), None, at);
+    let mixer = start(program, 4096, file(&format!("scale-{port}.json"), &text), None, at);
     let replacing = thread::spawn(move || {
         let mut call = agent.call().answer(&whole);
         for replaced in 0..REQUESTS / PER_SECOND * 2 {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -18,6 +18,7 @@
 //! 6. an early end for a scan that can no longer be answered (`Mixer::settle`)
 
 use crate::chance::Chance;
+use crate::replica_set::ReplicaSets;
 use crate::slow_start::{Allowance, SlowStart, StartsTold};
 use crate::*;
 use slab::Slab;
@@ -166,7 +167,11 @@
     cells: u32,
     /// What went to each cell, and since when that is counted.
     flows: BTreeMap<u32, Flow>,
-    homes: BTreeMap<u32, Vec<Searcher>>,
+    replicas: ReplicaSets,
+    /// Those that are not listed ready and may owe something; they leave as that has landed.
+    leaving: BTreeSet<Searcher>,
+    /// Those at which a part was lost with its connection; they leave as they answer again, or with the list.
+    lossy: BTreeSet<Searcher>,
     begun: Option<Moment>,
     width: u32,
     per_call: usize,
@@ -194,7 +199,19 @@
         // Of a row of its own, so that it changes no other draw; the first few numbers of like seeds are alike.
         let mut turns = Chance::new(!seed);
         let turn = (0..8).map(|_| turns.below(1 << 20)).last().unwrap_or(0) as f64 / f64::from(1 << 20);
-        Self { cells, width, per_call, may_check, cold, chance, turn, idle_close: never, ..Self::default() }
+        let replicas = ReplicaSets::new(cold.fleet, seed);
+        Self {
+            cells,
+            width,
+            per_call,
+            may_check,
+            cold,
+            chance,
+            turn,
+            replicas,
+            idle_close: never,
+            ..Self::default()
+        }
     }
 
     /// Connections idle for so long are closed by the platform, and the next part goes on a new one.
@@ -219,6 +236,14 @@
         let limit = (12.0 / self.cold.fleet).max(3.0);
         let seat = self.seats.entry(told.searcher).or_insert_with(|| Seat { limit, ..Seat::default() });
         let before = replace(&mut seat.told, told);
+        if before.cell != told.cell || !told.ready {
+            self.replicas.remove(before.cell, told.searcher);
+        }
+        if told.ready {
+            self.replicas.insert(told.cell, told.searcher);
+        } else {
+            self.leaving.insert(told.searcher);
+        }
         if !told.ready {
             seat.down = None;
             self.set_latency(told.searcher, None);
@@ -228,15 +253,25 @@
 
     fn holders(&self, shard: u32) -> impl Iterator<Item = Searcher> + '_ {
         let cells = (0..self.width.min(self.cells)).map(move |next| (shard % self.cells + next) % self.cells);
-        cells.filter_map(|cell| self.homes.get(&cell)).flatten().copied()
-    }
-
-    /// Who is ready, by cell: a scan asks for the holders of each part several times over.
-    fn settle_homes(&mut self) {
-        self.homes.clear();
-        for told in self.seats.values().map(|seat| seat.told).filter(|told| told.ready) {
-            self.homes.entry(told.cell).or_default().push(told.searcher);
-        }
+        let is_up = |searcher: Searcher| self.seats[&searcher].down.is_none();
+        cells.flat_map(move |cell| self.replicas.candidates(cell, is_up))
+    }
+
+    /// Whoever is not ready and owes nothing leaves.
+    fn let_go(&mut self) {
+        let (seats, lossy) = (&mut self.seats, &mut self.lossy);
+        self.leaving.retain(|searcher| {
+            let stays = seats.get(searcher).map(|seat| (seat.told.ready, seat.out.is_empty()));
+            match stays {
+                Some((false, false)) => true,
+                Some((true, _)) => false,
+                Some((false, true)) | None => {
+                    seats.remove(searcher);
+                    lossy.remove(searcher);
+                    false
+                }
+            }
+        });
     }
 
     /// It has started anew.
@@ -334,6 +369,7 @@
         let draws = |to: Searcher| 1.0 / self.standing(now, &self.seats[&to]).max(1.0);
         let drawn: f64 = self.holders(shard).filter(up).map(draws).sum();
         let flow = self.flows.get(&(shard % self.cells)).copied().unwrap_or_default();
+        let sharers = |to: Searcher| self.replicas.sharers(self.seats[&to].told.cell);
         let rate = flow.rate(now, now.since(self.begun.unwrap_or(now))) * f64::from(self.width.max(1));
         let keeps_off = |to: &Searcher| {
             let seat = &self.seats[to];
@@ -341,7 +377,8 @@
             else {
                 return false;
             };
-            let share = self.cold.share(since, self.shortest, rate * draws(*to) / drawn, now);
+            let falls = rate * draws(*to) / drawn;
+            let share = self.cold.share(since, self.shortest, falls, sharers(*to), now);
             up(to) && (seat.out.len() > answers || luck >= share || self.allowed(seat, now) < 1.0)
         };
         self.holders(shard).filter(keeps_off).collect()
@@ -352,7 +389,8 @@
         let Some((since, _)) = seat.fresh.filter(|(since, _)| self.cold.is_cold(*since, now)) else {
             return f64::MAX;
         };
-        let now_left = |left: &Allowance| left.at(&self.cold, since, self.shortest, now).whole();
+        let sharers = self.replicas.sharers(seat.told.cell);
+        let now_left = |left: &Allowance| left.at(&self.cold, since, self.shortest, sharers, now).whole();
         seat.allowance.as_ref().map_or(f64::MAX, now_left)
     }
 
@@ -364,13 +402,13 @@
     fn room(&self, now: Moment, left: Span, shard: u32, worth: f64, luck: f64, parts: usize) -> bool {
         let closed = self.closed(now, shard, luck);
         let left = left.as_f64() * (0.5 + 0.5 * worth).max(4.0 / self.cold.fleet).min(1.0);
-        let turns = self.cold.fleet * self.shortest * (1.0 + 20.0 * self.lost * self.lost);
+        let turns = self.shortest * (1.0 + 20.0 * self.lost * self.lost);
         let by = now.less(Span::of_micros((8.0 * self.typical) as u64));
         let free = |s: &Seat| {
-            let standing = self.standing(now, s);
+            let (standing, sharers) = (self.standing(now, s), self.replicas.sharers(s.told.cell));
             let least = if standing > 2.0 * self.shortest { 0.3 } else { 0.7 };
             let room = s.limit * (least + (1.0 - least) * worth).min(1.0) - s.at_work(by) as f64;
-            let turn = s.out.iter().all(|at| *at <= by) && now.since(s.sent).as_f64() >= turns;
+            let turn = s.out.iter().all(|at| *at <= by) && now.since(s.sent).as_f64() >= turns * sharers;
             let open = (turn || standing * 1.5 < left) && !closed.contains(&s.told.searcher);
             f64::from(open) * room.max(0.0).ceil().min(self.allowed(s, now))
         };
@@ -387,7 +425,8 @@
         let (cold, work) = (&self.cold, self.shortest);
         let seat = self.seats.entry(searcher).or_default();
         if let (Some((since, _)), Some(allowance)) = (seat.fresh, &mut seat.allowance) {
-            *allowance = allowance.at(cold, since, work, now);
+            let sharers = self.replicas.sharers(seat.told.cell);
+            *allowance = allowance.at(cold, since, work, sharers, now);
             allowance.spend();
         }
         let idle = now.since(seat.stood);
@@ -439,6 +478,10 @@
         // It answers what was sent after the loss, and has not started since: its connection broke, no more.
         let lives = |at: &Moment| back && leg.left > *at && seat.fresh.is_none_or(|(since, _)| since < *at);
         seat.lost = if died { Some(now) } else { seat.lost.filter(|at| !lives(at)) };
+        match seat.lost {
+            Some(_) => self.lossy.insert(from),
+            None => self.lossy.remove(&from),
+        };
         match how {
             _ if closed || !seat.told.ready => {}
             Landing::Honoured => {
@@ -605,8 +648,8 @@
             let start = anew.and_then(|at| self.roster.cold.start(at, list, now));
             start.iter().for_each(|since| self.roster.renew(now, told.searcher, *since));
         }
-        self.roster.seats.retain(|_, seat| seat.told.ready || !seat.out.is_empty());
-        self.roster.settle_homes();
+        self.roster.let_go();
+        self.roster.replicas.settle();
     }
 
     pub fn taken(&mut self, host: &mut dyn Host, id: ScanId, scan: ScanTaken) {
@@ -642,7 +685,7 @@
         // Of two steps, the first may take half of the time.
         let wait = patience * if kind.second_step { 0.5 } else { 1.0 };
         let late = Span::of_micros(self.roster.late(kind.quoted) as u64);
-        let held = self.roster.seats.values().any(|seat| seat.seems_dead(now));
+        let held = self.roster.lossy.iter().any(|lossy| self.roster.seats[lossy].seems_dead(now));
         let parts = scan.parts.iter().map(|taken| Part { taken: *taken, ..Part::default() }).collect();
         let (traffic_type, ends) = (scan.traffic_type, now + patience);
         self.scans.insert(id, Scan { traffic_type, worth, luck, ends, parts, held, ..Scan::default() });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod chance;
 pub mod choice;
+mod replica_set;
 pub mod slow_start;
 
 use std::ops::{Add, Mul};
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -76,25 +76,25 @@
     }
 
     /// The share of what would fall to it that keeps it within this mixer's part of the count, where `falls` parts
-    /// a microsecond would. All of it where mixers are so few that each can keep to its part by counting.
-    pub fn share(&self, since: Moment, work: f64, falls: f64, now: Moment) -> f64 {
-        if self.burst(self.calls(since, now, work)) >= 1.0 {
+    /// a microsecond would and so many mixers send it some. All of it where mixers are so few that each can keep to its part by counting.
+    pub fn share(&self, since: Moment, work: f64, falls: f64, sharers: f64, now: Moment) -> f64 {
+        if self.burst(self.calls(since, now, work), sharers) >= 1.0 {
             return 1.0;
         }
-        SHARE_USED * self.calls(since, now, work) / (self.fall.as_f64() * self.fleet * falls)
+        SHARE_USED * self.calls(since, now, work) / (self.fall.as_f64() * sharers * falls)
     }
 
     /// What this mixer may send at once on top of what comes evenly.
-    fn burst(&self, calls: f64) -> f64 {
+    fn burst(&self, calls: f64, sharers: f64) -> f64 {
         let chance = if calls < 30.0 { 3.0 * (calls + 3.0).sqrt() } else { 2.0 * (calls + 2.0).sqrt() };
-        (calls * (1.0 - EVEN) + chance * CHANCE_USED) / self.fleet
+        (calls * (1.0 - EVEN) + chance * CHANCE_USED) / sharers
     }
 
     /// What this mixer may send evenly in the rule's window, and at once on top of that.
-    fn part_of_count(&self, since: Moment, work: f64, now: Moment) -> PartOfCount {
+    fn part_of_count(&self, since: Moment, work: f64, sharers: f64, now: Moment) -> PartOfCount {
         let calls = self.calls(since, now, work);
-        let burst = self.burst(calls);
-        let even = calls * if burst < 1.0 { EVEN_OF_MANY } else { EVEN } / self.fleet;
+        let burst = self.burst(calls, sharers);
+        let even = calls * if burst < 1.0 { EVEN_OF_MANY } else { EVEN } / sharers;
         PartOfCount { even, burst: burst.max(1.0) }
     }
 }
@@ -120,8 +120,8 @@
     }
 
     /// The same now, for a searcher that started then.
-    pub fn at(&self, slow_start: &SlowStart, since: Moment, work: f64, now: Moment) -> Self {
-        let part = slow_start.part_of_count(since, work, now);
+    pub fn at(&self, slow_start: &SlowStart, since: Moment, work: f64, sharers: f64, now: Moment) -> Self {
+        let part = slow_start.part_of_count(since, work, sharers, now);
         let windows = now.since(self.at).as_f64() / slow_start.fall.as_f64().max(1.0);
         Self { left: (self.left + part.even * windows).min(part.burst), at: now }
     }
