--- a/crates/mixer/src/routing/tests/windows.rs
+++ b/crates/mixer/src/routing/tests/windows.rs
@@ -56,3 +56,32 @@
     play.back(link, "a.0", PartEnd::Honoured, "v");
     assert!(matches!(play.replies()[..], [(_, Reply::Answer { whole: true, .. }, _)]));
 }
+
+/// One further relay in any second, and a link may take two: the one that is decided first waits for its link, and the
+/// next one would go with it.
+#[test]
+fn a_further_relay_that_waits_for_its_link_counts_when_it_may_go() {
+    let more = "invariants.free_resends=1\ninvariants.further_ratio=0\ninvariants.resend_span=1000000\n\
+                limits.dial_timeout=2000000\n";
+    let mut play = play_with(2, more, berths(10, 10));
+    play.ask(ask("a", "look", &[0]));
+    let first = play.send()[0].link;
+    play.back(first, "a.0", PartEnd::Erred, "");
+    let late = play.dials()[0].0;
+    play.pass(1_100);
+    // One that goes where the link is up, fails there, and would go on to the other searcher.
+    let names: Vec<String> = (0..20).map(|number| format!("b{number}")).collect();
+    let at_first = names.iter().find(|name| {
+        play.ask(ask(name, "look", &[0]));
+        let handed = play.handed();
+        handed.iter().for_each(|h| play.feed(Event::CallOut(h.link, h.call)));
+        handed.iter().any(|h| h.link == first)
+    });
+    let again = format!("{}.0", at_first.expect("one of them"));
+    play.back(first, &again, PartEnd::Erred, "");
+    play.pass(100);
+    play.feed(Event::LinkUp(late));
+    let handed = play.handed();
+    let further = handed.iter().filter(|h| h.errands[0].id == "a.0" || h.errands[0].id == again).count();
+    assert!(further <= 1, "{further} further relays at once");
+}
