A new process waits for discovery's word; further relays count while they may wait

Cause: where lists are pushed, what the agent has counts as told from a new process's first moment, and the mixer was ready, and sent, by the list of its configuration; RelayBudget counted a relay when it was decided, while it may wait limits.dial_timeout for its link, so that two windows' relays could go together. Change: Mixer::takes_scans: pushed lists are waited for up to three seconds, /healthz says so and scans are turned away as harmless (hurts a restart while the agent is down, by that time); RelayBudget::holding widens the window by the dial time and narrows what was taken by it.

--- a/crates/fronts/src/readings.rs
+++ b/crates/fronts/src/readings.rs
@@ -144,7 +144,8 @@
         let window = self.span("invariants.resend_span")?;
         let stated = share >= 0.0 && window > Span::ZERO;
         let cap = self.number("limits.attempts_cap", 1.0)? as usize;
-        let budget = RelayBudget::new(cap, stated.then_some((few, share, window)));
+        let held = self.span("limits.dial_timeout")?;
+        let budget = RelayBudget::new(cap, stated.then_some((few, share, window))).holding(held);
         let quota = |i| self.number(&format!("customers.{i}.quota_per_s"), f64::MAX);
         let door = Door::new(
             fleet as usize,
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -124,11 +124,15 @@
         })
     }
 
+    fn is_ready(&self) -> bool {
+        self.desk.roll.any_ready() && !self.desk.stopping && self.mixer.takes_scans(self.desk.now)
+    }
+
     /// What it tells of itself, but for what only the program knows.
     fn figures(&self) -> Figures {
         let names = self.types.iter().map(|(name, _)| name.clone());
         Figures {
-            ready: self.desk.roll.any_ready() && !self.desk.stopping,
+            ready: self.is_ready(),
             listed: self.desk.roll.ready_and_listed().0 as u64,
             relays: self.desk.sums.relays,
             types: names.zip(self.desk.sums.lines().iter().cloned()).collect(),
@@ -518,7 +522,7 @@
             state.desk.reply(client, Reply::Figures(Box::new(figures)), false);
         }
         Event::HealthAsked(client) => {
-            let ready = state.desk.roll.any_ready() && !state.desk.stopping;
+            let ready = state.is_ready();
             state.desk.reply(client, Reply::Health(ready), false);
         }
         Event::Misasked(client, blame, lost) => state.desk.reply(client, Reply::Refusal(blame), lost),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,6 +39,9 @@
     few: f64,
     share: f64,
     window: Span,
+    /// How long a relay may wait for its connection: it counts as one that goes then, and what was taken counts as
+    /// long before as it may wait.
+    held: Span,
     /// When scans and parts were taken and further relays made; emptied as they leave the window.
     taken: VecDeque<Moment>,
     further: VecDeque<Moment>,
@@ -51,6 +54,11 @@
         Self { cap, few, share, window, ..Self::default() }
     }
 
+    /// Relays may wait so long before they go.
+    pub fn holding(self, held: Span) -> Self {
+        Self { held, ..self }
+    }
+
     fn note_taken(&mut self, now: Moment, count: usize) {
         self.taken.extend(std::iter::repeat_n(now, count));
         self.forget(now);
@@ -59,8 +67,8 @@
     /// What was taken counts strictly inside the window, what was relayed at its very edge as well.
     fn forget(&mut self, now: Moment) {
         let (taken, further) = (&mut self.taken, &mut self.further);
-        taken.drain(..taken.partition_point(|at| now.since(*at) >= self.window));
-        further.drain(..further.partition_point(|at| now.since(*at) > self.window));
+        taken.drain(..taken.partition_point(|at| now.since(*at) >= self.window.less(self.held)));
+        further.drain(..further.partition_point(|at| now.since(*at) > self.window + self.held));
     }
 
     fn has_room(&mut self, now: Moment) -> bool {
@@ -151,6 +159,9 @@
     sort: Sort,
 }
 
+/// How long a new process waits for discovery's first word: a third of what it may take to be ready.
+const FIRST_LIST: Span = Span::of_millis(3_000);
+
 /// How often a searcher that is down is checked: the design page's figure.
 const CHECK_EVERY: Span = Span::of_millis(5_000);
 
@@ -607,6 +618,14 @@
         mixer
     }
 
+    /// Whether scans are taken. Where changes are pushed to an agent at hand, what that has counts as told from a new
+    /// process's first moment, and the list it starts with may be old: it waits for the agent's word, and no longer
+    /// than an agent that is down can be waited for. Hurts a restart while the agent is away, by that time.
+    pub fn takes_scans(&self, now: Moment) -> bool {
+        let waited = now.since(self.roster.begun.unwrap_or(now));
+        self.pushed.is_none() || self.has_list || waited >= FIRST_LIST
+    }
+
     /// Keeps the list watched, which broke so often since it was last heard. Where changes are pushed to an
     /// agent at hand, what that has counts as told: it is asked anew at once, then by quarters of the drains'
     /// grace, so that a try in vain and the next fit in it; against all that comes between a break and the
@@ -655,6 +674,9 @@
     pub fn taken(&mut self, host: &mut dyn Host, id: ScanId, scan: ScanTaken) {
         let now = host.now();
         self.budget.note_taken(now, 1 + scan.parts.len());
+        if !self.takes_scans(now) {
+            return host.bounce(id, self.door.pause);
+        }
         let Some(kind) = self.types.get(scan.traffic_type) else { return host.write_off(id) };
         // A repeat with less left than its sort has at most has only the rest of the abandon time: its client
         // counts from its first try, and so does what the scan is worth.
--- a/src/replica_set.rs
+++ b/src/replica_set.rs
@@ -65,7 +65,7 @@
             replicas.order = replicas.ready.iter().copied().collect();
             if replicas.order.len() > replicas.candidates {
                 let seed = self.seed;
-                replicas.order.sort_unstable_by_key(|searcher| mixed(seed ^ u64::from(searcher.0)));
+                replicas.order.sort_by_cached_key(|searcher| mixed(seed ^ u64::from(searcher.0)));
             }
         }
     }
