Failing tests: a listener that can't be had at once, a configuration that can't be read at the signal

Cause: socket, bind and listen failing for a moment at the start, and SIGHUP while the file is being replaced, had no test. Measured on this text: each of ENFILE and ENOBUFS at socket, EADDRINUSE at bind and listen ends the program, which counts as a crash; after SIGHUP with a file that is missing or half written for 0.2 s the new discovery is never asked, so that its drains are never told.

--- a/crates/mixer/tests/starts.rs
+++ b/crates/mixer/tests/starts.rs
@@ -1,7 +1,9 @@
 //! The first moments of a new process: what discovery's agent has counts as told from then on, and the list of the
 //! configuration may be old.
 
-use fernglade_standins::child::{file, free_address, orders, start, Mixer};
+use fernglade_standins::child::{
+    file, free_address, orders, start, start_with_system_faults, Mixer, SystemFault,
+};
 use fernglade_standins::client::{answer, say, scan, try_answer};
 use fernglade_standins::discovery::{list, Agent};
 use fernglade_standins::searcher::{good, searcher};
@@ -9,6 +11,7 @@
 use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
+use test_case::test_case;
 
 fn mixer(name: &str, discovery: SocketAddr, known: &str, at: SocketAddr) -> Mixer {
     let text = orders(&at.to_string(), discovery, known);
@@ -69,3 +72,42 @@
     assert!(began.elapsed() < Duration::from_secs(5), "ready in {:?}", began.elapsed());
     assert_eq!(ask(at, "a"), Some(200));
 }
+
+/// The address is still held by the process before, or the system is short for a moment: it tries again.
+#[test_case("socket", "ENFILE")]
+#[test_case("socket", "ENOBUFS")]
+#[test_case("bind", "EADDRINUSE")]
+#[test_case("listen", "EADDRINUSE")]
+fn a_listener_that_can_not_be_had_at_once_is_tried_for_again(call: &'static str, error: &'static str) {
+    let ((address, _told), at) = (searcher(good), free_address());
+    let text = orders(&at.to_string(), free_address(), &list(&[address]));
+    let faults = [SystemFault { call, error, when: "1..2" }];
+    let path = file(&format!("starts-{call}-{error}.json"), &text);
+    let program = Path::new(env!("CARGO_BIN_EXE_fernglade-mixer"));
+    let _mixer = start_with_system_faults(program, path, at, &faults);
+    assert_eq!(ask(at, "a"), Some(200));
+}
+
+/// SIGHUP comes while the file is being replaced: it is read once it is there, with no further signal.
+#[test_case(""; "missing")]
+#[test_case("{\"name\":\"n0\",\"listen"; "half written")]
+fn a_configuration_that_can_not_be_read_just_then_is_read_a_moment_later(begun: &str) {
+    let ((old, _), (new, told), at) = (searcher(good), searcher(good), free_address());
+    let (first, second) = (Agent::default(), Agent::default());
+    let text = |discovery: SocketAddr| orders(&at.to_string(), discovery, &list(&[old]));
+    let path = file(&format!("starts-again-{}.json", begun.len()), &text(first.at()));
+    let program = Path::new(env!("CARGO_BIN_EXE_fernglade-mixer"));
+    let mixer = start(program, 1024, path.clone(), None, at);
+    match begun {
+        "" => std::fs::remove_file(&path).expect("it is there"),
+        begun => std::fs::write(&path, begun).expect("it can be written"),
+    }
+    mixer.signal("-HUP");
+    thread::sleep(Duration::from_millis(200));
+    std::fs::write(&path, text(second.at())).expect("it can be written");
+    let (tell, asked) = std::sync::mpsc::channel();
+    thread::spawn(move || tell.send(second.call().answer(&list(&[new]))));
+    let _watch = asked.recv_timeout(Duration::from_secs(4)).expect("the new address is asked");
+    assert_eq!(ask(at, "a"), Some(200));
+    assert!(told.try_iter().any(|(letter, _)| letter == b'm'), "by the new list");
+}
