A listener is tried for again at the start; a configuration that can't be read is read again

Cause: serve ended at the first error of listen, and heed read the file once for each SIGHUP. Change: listen_in_time tries for two seconds what passes (EADDRINUSE, and faults of this machine); a configuration that is missing, half written or wrong is read again after 0.1, 0.2, 0.4 and 0.7 s, within the 1.5 s for which the old discovery answers; a further signal starts anew. Hurts a wrong file by four more lines in the log.

--- a/crates/mixer/src/program/hub.rs
+++ b/crates/mixer/src/program/hub.rs
@@ -8,18 +8,19 @@
 use super::links::Links;
 use super::{watch, Orders};
 use crate::routing::{reduce, Effect, Ending, Event, State};
-use crate::transport::{listen, Bell};
+use crate::transport::{is_local_fault, listen, Bell};
 use async_executor::LocalExecutor;
-use async_io::Timer;
+use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use fernglade::Moment;
 use futures_lite::{future, StreamExt};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::net::SocketAddr;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 struct Hub {
     state: RefCell<State>,
@@ -49,8 +50,10 @@
     let indices = orders.operator.dialect().indices.keys().cloned().collect();
     let further = orders.operator.dialect().listen;
     let at: Vec<_> = std::iter::once(orders.listen).chain(further).collect();
-    let listens = |at: &SocketAddr| listen(*at).map_err(|e| format!("cannot listen on {at}: {e}"));
-    let listeners = at.iter().map(listens).collect::<Result<Vec<_>, _>>()?;
+    let mut listeners = Vec::new();
+    for at in &at {
+        listeners.push(listen_in_time(*at).await.map_err(|error| format!("cannot listen on {at}: {error}"))?);
+    }
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
         .map_err(|e| format!("cannot take signals: {e}"))?;
     let who = Rc::new(Identity::new(&orders));
@@ -114,21 +117,59 @@
     }
 }
 
+/// How long an address that can't be had is tried for: a process before this one lets go of it within moments.
+const LISTEN_WITHIN: Duration = Duration::from_secs(2);
+/// How long until it is tried again.
+const LISTEN_PAUSE: Duration = Duration::from_millis(50);
+
+async fn listen_in_time(at: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let began = Instant::now();
+    loop {
+        let passing = |error: &io::Error| error.kind() == io::ErrorKind::AddrInUse || is_local_fault(error);
+        match listen(at) {
+            Err(error) if passing(&error) && began.elapsed() < LISTEN_WITHIN => {
+                Timer::after(LISTEN_PAUSE).await;
+            }
+            done => return done,
+        }
+    }
+}
+
+/// When a configuration that could not be used is read again without a further signal: it may be in the midst of being
+/// replaced, and an old discovery goes 1.5 s after the signal.
+const READ_AGAIN_AFTER_MS: [u64; 4] = [100, 200, 400, 700];
+
 async fn heed(handle: Handle, mut signals: Signals, operator: Option<PathBuf>, who: Rc<Identity>) {
-    while let Some(signal) = signals.next().await {
+    let mut pauses = [].iter();
+    loop {
+        let due = async {
+            match pauses.next() {
+                Some(millis) => drop(Timer::after(Duration::from_millis(*millis)).await),
+                None => future::pending().await,
+            }
+            Some(Ok(Signal::Hup))
+        };
+        let was_retry = Cell::new(true);
+        let signalled = async {
+            let signal = signals.next().await;
+            was_retry.set(false);
+            signal
+        };
+        let Some(signal) = future::or(signalled, due).await else { return };
         match signal {
-            Ok(Signal::Hup) => read_again(&handle, operator.as_deref(), &who),
+            Ok(Signal::Hup) if read_again(&handle, operator.as_deref(), &who) => pauses = [].iter(),
+            Ok(Signal::Hup) if !was_retry.get() => pauses = READ_AGAIN_AFTER_MS.iter(),
+            Ok(Signal::Hup) | Err(_) => {}
             Ok(signal) => {
                 log::info!("told to stop by {signal:?}");
                 handle.feed(Event::StopAsked);
             }
-            Err(_) => {}
         }
     }
 }
 
-/// A file that can't be used leaves all as it is.
-fn read_again(handle: &Handle, operator: Option<&Path>, who: &Identity) {
+/// A file that can't be used leaves all as it is; false for that.
+fn read_again(handle: &Handle, operator: Option<&Path>, who: &Identity) -> bool {
     match Orders::read_again(operator) {
         Ok(orders) => {
             log::info!("orders read again, discovery is at {}", orders.discovery);
@@ -137,10 +178,12 @@
                 log::warn!("the operator's file has changes that are taken up at the start only");
             }
             handle.feed(Event::Ruled(orders.operator.house()));
+            true
         }
         Err(what) => {
             who.refused();
             log::warn!("the old orders stand: {what}");
+            false
         }
     }
 }
