--- a/crates/conductor/src/conduct.rs
+++ b/crates/conductor/src/conduct.rs
@@ -116,6 +116,7 @@
                 self.ruled(ruling);
             }
             self.work()?;
+            self.paper.wish_done();
             self.show();
             match &self.change.stand {
                 Stand::Done(Side::New) => return Ok(End::AllNew),
--- a/crates/conductor/src/paper.rs
+++ b/crates/conductor/src/paper.rs
@@ -77,6 +77,9 @@
         serde_json::from_str(&text).ok()
     }
 
+    /// What was wished for has been done.
+    pub fn wish_done(&self) {}
+
     /// Where a child's own log goes.
     pub fn child_log(&self, name: &str) -> io::Result<File> {
         OpenOptions::new().create(true).append(true).open(beside(&self.path, &format!(".{name}.log")))
@@ -102,3 +105,6 @@
     file.sync_all()?;
     std::fs::rename(&new, path)
 }
+
+#[cfg(test)]
+mod tests;
