--- a/crates/conductor/src/paper.rs
+++ b/crates/conductor/src/paper.rs
@@ -5,9 +5,16 @@
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+/// How long a journal that can't be written is tried for, and how soon again.
+const WRITE_WITHIN: Duration = Duration::from_secs(10);
+const WRITE_PAUSE: Duration = Duration::from_millis(100);
 
 pub struct Paper {
     journal: File,
+    /// How much of the file holds whole records.
+    good: u64,
     path: PathBuf,
     pub records: Vec<Record>,
     _lock: File,
@@ -49,14 +56,33 @@
         // The name too, where the file is new.
         let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
         File::open(folder).and_then(|folder| folder.sync_all()).map_err(within)?;
-        Ok(Self { journal, path: path.into(), records, _lock: lock })
+        Ok(Self { journal, good: good as u64, path: path.into(), records, _lock: lock })
     }
 
-    /// On the disk when this returns.
+    /// On the disk when this returns. A disk that is full or fails is tried again for a while: nothing that the record
+    /// speaks of is done before, and the mixers serve on meanwhile.
     pub fn write(&mut self, record: &Record) -> Result<(), String> {
         let line = record.line();
-        let written = self.journal.write_all(line.as_bytes()).and_then(|()| self.journal.sync_data());
-        written.map_err(|error| format!("{}: {error}", self.path.display()))
+        let began = Instant::now();
+        loop {
+            match self.append(line.as_bytes()) {
+                Ok(()) => return Ok(()),
+                Err(error) if began.elapsed() > WRITE_WITHIN => {
+                    return Err(format!("{}: {error}", self.path.display()));
+                }
+                Err(_) => std::thread::sleep(WRITE_PAUSE),
+            }
+        }
+    }
+
+    /// What an earlier try has left behind is cut first: a torn line may stand at the end only.
+    fn append(&mut self, line: &[u8]) -> io::Result<()> {
+        self.journal.set_len(self.good)?;
+        self.journal.seek(SeekFrom::Start(self.good))?;
+        self.journal.write_all(line)?;
+        self.journal.sync_data()?;
+        self.good += line.len() as u64;
+        Ok(())
     }
 
     /// For machines, one JSON object a line.
@@ -69,16 +95,28 @@
         let _ = replace(&beside(&self.path, ".status"), format!("{text}\n").as_bytes());
     }
 
-    /// What an operator has asked for since it was last looked at.
+    /// What an operator has asked for and has not been done: it is set aside first, so that a kill loses nothing and
+    /// the next wish waits its turn.
     pub fn wish(&self) -> Option<Wish> {
-        let path = beside(&self.path, ".wish");
-        let text = std::fs::read_to_string(&path).ok()?;
-        let _ = std::fs::remove_file(&path);
-        serde_json::from_str(&text).ok()
+        let aside = self.wish_set_aside();
+        if !aside.exists() {
+            std::fs::rename(beside(&self.path, ".wish"), &aside).ok()?;
+        }
+        let wish = std::fs::read_to_string(&aside).ok().and_then(|text| serde_json::from_str(&text).ok());
+        if wish.is_none() {
+            self.wish_done();
+        }
+        wish
     }
 
     /// What was wished for has been done.
-    pub fn wish_done(&self) {}
+    pub fn wish_done(&self) {
+        let _ = std::fs::remove_file(self.wish_set_aside());
+    }
+
+    fn wish_set_aside(&self) -> PathBuf {
+        beside(&self.path, ".wish-taken")
+    }
 
     /// Where a child's own log goes.
     pub fn child_log(&self, name: &str) -> io::Result<File> {
--- a/crates/conductor/tests/disk.rs
+++ b/crates/conductor/tests/disk.rs
@@ -19,7 +19,7 @@
     }
 }
 
-/// Begins a change of two mixers that nobody runs, with a system call that fails for a while.
+/// Begins a change of three mixers that nobody runs, with a system call that fails for a while.
 fn begins(name: &str, call: &str, error: &str, when: &str) -> Conductor {
     let folder = std::env::temp_dir().join(format!("fernglade-disk-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder");
@@ -35,11 +35,12 @@
     };
     let program = env!("CARGO_BIN_EXE_fernglade-rollout");
     let text = format!(
-        "{{ change: 'test', journal: '{}', mixers: [{}, {}], old: {{ program: '{program}', operator: '{old}' }},
+        "{{ change: 'test', journal: '{}', mixers: [{}, {}, {}], old: {{ program: '{program}', operator: '{old}' }},
            new: {{ program: '{program}', operator: '{new}' }}, stages: [1, '100%'] }}",
         folder.join("journal").display(),
         mixer(0),
         mixer(1),
+        mixer(2),
     );
     let plan = file("plan.json5", &text);
     let mut command = Command::new("strace");
