--- a/crates/mixer/tests/pipelined.rs
+++ b/crates/mixer/tests/pipelined.rs
@@ -5,7 +5,7 @@
 use fernglade_standins::discovery::{agent, list};
 use fernglade_standins::searcher::{good, searcher, slow};
 use fernglade_standins::PATIENCE;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::mpsc::Receiver;
@@ -101,3 +101,57 @@
     let _ = client.get_mut().shutdown(std::net::Shutdown::Both);
     assert_eq!(client.read(&mut [0]).unwrap_or(0), 0);
 }
+
+/// It sends on and on, and reads its answers: it is answered what was read, and the program ends all the same.
+#[test]
+fn a_client_that_never_stops_sending_holds_no_stop_up() {
+    let (address, _told) = searcher(good);
+    let mut mixer = mixer("endless", address);
+    let client = mixer.client();
+    let mut sends = client.get_ref().try_clone().expect("a descriptor");
+    let sender = std::thread::spawn(move || {
+        let sent = (0..).map(|number| sends.write_all(scan(&format!("e{number}"), &[0]).as_bytes()));
+        sent.take_while(Result::is_ok).count()
+    });
+    let reader = std::thread::spawn(move || {
+        let mut client = client;
+        std::iter::from_fn(|| try_answer(&mut client).ok()).map(|answer| answer.0).collect::<Vec<u16>>()
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    mixer.signal("-TERM");
+    let began = std::time::Instant::now();
+    while mixer.child.try_wait().expect("it runs").is_none() {
+        assert!(began.elapsed() < Duration::from_millis(1_700), "still there");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let (sent, statuses) = (sender.join().expect("it ends"), reader.join().expect("it ends"));
+    assert!(statuses.iter().all(|status| matches!(status, 200 | 503)), "{statuses:?}");
+    println!("{sent} sent, {} answered, gone after {:?}", statuses.len(), began.elapsed());
+}
+
+/// It keeps three requests on the way at any time: what it sends after the stop meets the end of its connection.
+#[test]
+fn a_client_that_keeps_requests_on_the_way_holds_no_stop_up() {
+    let (address, _told) = searcher(good);
+    let mut mixer = mixer("on-the-way", address);
+    let mut client = mixer.client();
+    (0..3).for_each(|number| say(&mut client, scan(&format!("w{number}"), &[0])));
+    let caller = std::thread::spawn(move || {
+        let mut statuses = Vec::new();
+        while let Ok((status, _, _)) = try_answer(&mut client) {
+            statuses.push(status);
+            let next = scan(&format!("w{}", statuses.len() + 2), &[0]);
+            let _ = client.get_mut().write_all(next.as_bytes());
+        }
+        statuses
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    mixer.signal("-TERM");
+    let began = std::time::Instant::now();
+    while mixer.child.try_wait().expect("it runs").is_none() {
+        assert!(began.elapsed() < Duration::from_millis(1_700), "still there");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let statuses = caller.join().expect("it ends");
+    assert!(statuses.len() > 100 && statuses.iter().all(|status| *status == 200), "{statuses:?}");
+}
