A connection that is sent off is read no further than what had come by then

Change: Line::seal once a connection is sent off and more stands read: nothing further is taken, what stands is answered, then it closes; only a client whose framing is lost, or that flooded, is lingered for.

--- a/crates/mixer/src/program/listening.rs
+++ b/crates/mixer/src/program/listening.rs
@@ -42,8 +42,8 @@
     let read = |inbox: &mut Inbox| listening.read(&handle, client, &connection, inbox);
     let written = |_| connection.line.look_again(connection.unread.get());
     let stop = pump(&stream, &connection.line, Inbox::new(MOST_UNREAD), read, written).await;
-    let still_sends = listening.lost || connection.line.is_flooded() || has_more(&stream);
-    if matches!(stop, Stop::Closed) && still_sends {
+    // What else has come was not read, and is its client's to send again: it stays unread.
+    if matches!(stop, Stop::Closed) && (listening.lost || connection.line.is_flooded()) {
         linger(&stream, LINGER.0, LINGER.1).await;
     }
     // Before it is told: the last to leave may end the program.
@@ -114,6 +114,9 @@
         connection.unread.set(unread);
         // What was read is looked at once the answer before it is written: a request on its way when its client was
         // sent off has its answer first.
+        if connection.sent_off.get() && unread {
+            connection.line.seal();
+        }
         let looked_at = !connection.answering.get() && (!unread || connection.line.outbox.is_empty());
         if connection.sent_off.get() && looked_at {
             connection.line.dismiss();
--- a/crates/mixer/src/transport/pump.rs
+++ b/crates/mixer/src/transport/pump.rs
@@ -21,6 +21,8 @@
     pub look: Bell,
     closing: Cell<bool>,
     cut: Cell<bool>,
+    /// Nothing more is to be read: what comes from now on is its sender's to send again.
+    sealed: Cell<bool>,
     /// More came than may wait, and was thrown away: what follows can't be told apart.
     flooded: Cell<bool>,
 }
@@ -46,6 +48,7 @@
             closing: false.into(),
             cut: false.into(),
             flooded: false.into(),
+            sealed: false.into(),
         }
     }
 
@@ -59,6 +62,11 @@
         self.closing.get()
     }
 
+    /// Reads nothing more.
+    pub fn seal(&self) {
+        self.sealed.set(true);
+    }
+
     /// Has what was read looked at again, if `wanted`.
     pub fn look_again(&self, wanted: bool) {
         if wanted || self.flooded.get() {
@@ -151,6 +159,9 @@
         line.look.wait().await;
         Ok(None)
     };
+    if line.sealed.get() {
+        return look.await;
+    }
     if inbox.is_full() {
         // Nothing more may wait; but the peer's end, behind what it still sends, is to be seen.
         let waste = async {
@@ -174,6 +185,9 @@
 /// What finds no room is thrown away, and the line ends with its next answer.
 pub fn take_rest(stream: &Stream, line: &Line, inbox: &mut Inbox) -> bool {
     let mut socket = stream.get_ref();
+    if line.sealed.get() {
+        return uninterrupted(|| socket.peek(&mut [0])).is_ok_and(|count| count == 0);
+    }
     for _ in 0..MOST_SEARCHED {
         let full = inbox.is_full();
         let came = match full {
--- a/crates/mixer/tests/system_errors.rs
+++ b/crates/mixer/tests/system_errors.rs
@@ -107,6 +107,24 @@
     assert_eq!(parts(&told), 20, "each part goes out once");
 }
 
+/// A connection that the way refuses is the design's connection failure: its searcher is out until a check passes, and
+/// each request meanwhile hears so at once.
+#[test_case("ETIMEDOUT")]
+#[test_case("EHOSTUNREACH")]
+fn a_searcher_that_the_way_refuses_for_a_moment_costs_nobody_an_answer(error: &'static str) {
+    let (address, told) = searcher(good);
+    let faults = [SystemFault { call: "connect", error, when: "2+2" }];
+    let mixer = mixer(&format!("way-{error}"), &list(&[address]), &faults);
+    let mut client = mixer.client();
+    let answers = (0..20).map(|number| {
+        say(&mut client, scan(&format!("r{number}"), &[0]));
+        status(&mut client)
+    });
+    let answers = statuses(answers);
+    assert!(answers.keys().all(|status| matches!(status, 200 | 503)), "{answers:?}");
+    assert_eq!(parts(&told), answers.get(&200).copied().unwrap_or(0));
+}
+
 /// Those who are turned away hear so, whatever the system makes of the write.
 #[test_case("recvfrom")]
 #[test_case("sendto")]
