--- a/crates/mixer/src/program/accepting.rs
+++ b/crates/mixer/src/program/accepting.rs
@@ -1,13 +1,13 @@
 //! The listeners: whoever stands outside is accepted in batches, as long as the door is open.
 
 use super::clients::Clients;
+use super::clock::duration;
 use super::handle::Handle;
 use super::refusals::refuse_alone;
 use crate::protocol::scans::bounce;
 use crate::routing::Event;
 use crate::transport::{accept, Accepted, Bell, Reserve};
 use async_io::{Async, Timer};
-use fernglade::Span;
 use fernglade_admission::{AfterFailure, Shortage};
 use futures_lite::future;
 use std::cell::Cell;
@@ -20,6 +20,8 @@
 const BATCH: usize = 32;
 /// How long the backlog of a listener that is to be shut is looked after where accepts fail.
 const LAST_ACCEPTS: Duration = Duration::from_millis(200);
+/// Where not even the reserve accepts: long enough not to spin, short against any client's time.
+const SHORT_PAUSE: Duration = Duration::from_millis(20);
 /// A shortage that lasts is told of once in so long.
 const TOLD_EVERY: Duration = Duration::from_secs(10);
 
@@ -125,7 +127,7 @@
 
     async fn failed(&mut self, error: &io::Error) {
         match self.shortage.failed() {
-            AfterFailure::TryAgain(pause) => drop(Timer::after(span(pause)).await),
+            AfterFailure::TryAgain(pause) => drop(Timer::after(duration(pause)).await),
             AfterFailure::MakeRoom => self.make_room(error).await,
         }
     }
@@ -144,10 +146,3 @@
         self.reserve.restore();
     }
 }
-
-/// Where not even the reserve accepts: long enough not to spin, short against any client's time.
-const SHORT_PAUSE: Duration = Duration::from_millis(20);
-
-pub fn span(span: Span) -> Duration {
-    Duration::from_micros(span.micros())
-}
--- a/crates/mixer/src/program/clock.rs
+++ b/crates/mixer/src/program/clock.rs
@@ -1,9 +1,14 @@
 //! Time: read from the system's clock once, then counted by a monotonic one, so that a step of the clock
 //! moves no timer, and a searcher's start keeps its place.
 
-use fernglade::Moment;
+use fernglade::{Moment, Span};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// A span as timers take it.
+pub fn duration(span: Span) -> Duration {
+    Duration::from_micros(span.micros())
+}
+
 #[derive(Clone, Copy)]
 pub struct Clock {
     began: Instant,
--- a/crates/mixer/src/program/hub.rs
+++ b/crates/mixer/src/program/hub.rs
@@ -2,7 +2,7 @@
 
 use super::accepting::accept_all;
 use super::clients::Clients;
-use super::clock::Clock;
+use super::clock::{duration, Clock};
 use super::handle::Handle;
 use super::identity::Identity;
 use super::links::Links;
@@ -139,35 +139,57 @@
 /// replaced, and an old discovery goes 1.5 s after the signal.
 const READ_AGAIN_AFTER_MS: [u64; 4] = [100, 200, 400, 700];
 
+/// What there is to do next of signals.
+enum Heard {
+    Signal(Signal),
+    /// The configuration could not be used, and is to be read again.
+    Retry,
+    NoMore,
+}
+
 async fn heed(handle: Handle, mut signals: Signals, operator: Option<PathBuf>, who: Rc<Identity>) {
-    let mut pauses = [].iter();
+    let mut retries = [].iter();
     loop {
-        let due = async {
-            match pauses.next() {
-                Some(millis) => drop(Timer::after(Duration::from_millis(*millis)).await),
-                None => future::pending().await,
+        match next_heard(&mut signals, &mut retries).await {
+            Heard::Signal(Signal::Hup) => {
+                let used = read_again(&handle, operator.as_deref(), &who);
+                retries = if used { [].iter() } else { READ_AGAIN_AFTER_MS.iter() };
             }
-            Some(Ok(Signal::Hup))
-        };
-        let was_retry = Cell::new(true);
-        let signalled = async {
-            let signal = signals.next().await;
-            was_retry.set(false);
-            signal
-        };
-        let Some(signal) = future::or(signalled, due).await else { return };
-        match signal {
-            Ok(Signal::Hup) if read_again(&handle, operator.as_deref(), &who) => pauses = [].iter(),
-            Ok(Signal::Hup) if !was_retry.get() => pauses = READ_AGAIN_AFTER_MS.iter(),
-            Ok(Signal::Hup) | Err(_) => {}
-            Ok(signal) => {
+            Heard::Retry => {
+                if read_again(&handle, operator.as_deref(), &who) {
+                    retries = [].iter();
+                }
+            }
+            Heard::Signal(signal) => {
                 log::info!("told to stop by {signal:?}");
                 handle.feed(Event::StopAsked);
             }
+            Heard::NoMore => return,
         }
     }
 }
 
+/// The next signal, or the next retry where it is due sooner.
+async fn next_heard(signals: &mut Signals, retries: &mut std::slice::Iter<'_, u64>) -> Heard {
+    let retry = async {
+        match retries.next() {
+            Some(millis) => drop(Timer::after(Duration::from_millis(*millis)).await),
+            None => future::pending().await,
+        }
+        Heard::Retry
+    };
+    let signal = async {
+        loop {
+            match signals.next().await {
+                Some(Ok(signal)) => return Heard::Signal(signal),
+                Some(Err(_)) => {}
+                None => return Heard::NoMore,
+            }
+        }
+    };
+    future::or(signal, retry).await
+}
+
 /// A file that can't be used leaves all as it is; false for that.
 fn read_again(handle: &Handle, operator: Option<&Path>, who: &Identity) -> bool {
     match Orders::read_again(operator) {
@@ -214,7 +236,7 @@
             Effect::Door(open) => clients.open_door(open),
             Effect::ShutDoor => clients.shut_door(),
             Effect::Dial { link, to, within, tongue } => {
-                links.dial(handle, link, to, tongue, Duration::from_micros(within.micros()));
+                links.dial(handle, link, to, tongue, duration(within));
             }
             Effect::Call { link, call, errands } => links.call(handle, link, call, &errands),
             Effect::Withdraw(link, call) => links.withdraw(handle, link, call),
--- a/crates/mixer/src/program/links.rs
+++ b/crates/mixer/src/program/links.rs
@@ -1,6 +1,6 @@
 //! One link to a searcher: dialled, then run until it ends.
 
-use super::accepting::span;
+use super::clock::duration;
 use super::handle::Handle;
 use crate::protocol::frames::{self, Errand, Frame, MOST_FRAME};
 use crate::protocol::http::{get, Message, Reader};
@@ -201,7 +201,7 @@
             return Err(error);
         }
         match shortage.failed() {
-            AfterFailure::TryAgain(pause) => drop(Timer::after(span(pause)).await),
+            AfterFailure::TryAgain(pause) => drop(Timer::after(duration(pause)).await),
             AfterFailure::MakeRoom => {
                 if is_short(&error) {
                     handle.feed(Event::Short);
