--- a/crates/mixer/tests/scale.rs
+++ b/crates/mixer/tests/scale.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 /// Requests, and how many each second.
-const REQUESTS: u32 = 240;
+const REQUESTS: u32 = 480;
 const PER_SECOND: u32 = 60;
 const CLIENTS: u32 = 12;
 /// Searchers of a fleet of 300 mixers; sixteen times as many stand before 900.
