--- a/crates/mixer/src/transport/pump.rs
+++ b/crates/mixer/src/transport/pump.rs
@@ -166,7 +166,8 @@
         // Nothing more may wait; but the peer's end, behind what it still sends, is to be seen.
         let waste = async {
             Timer::after(WASTE.1).await;
-            let count = read(stream, &mut [0; WASTE.0]).await?;
+            // On the heap: an array would be part of each connection's task, which is moved as it begins.
+            let count = read(stream, &mut vec![0; WASTE.0]).await?;
             line.flooded.set(line.flooded.get() || count > 0);
             Ok(Some(0).filter(|_| count == 0))
         };
