A replica's state is looked up once for each choice, in a hash table

Each choice among a dozen replicas looked each of them up about nine times in a tree of all searchers, which grows with the fleet: 3.6% of the profile at 3,200 searchers was that search alone. Holders now yield the state itself, and the table is a hash (rustc-hash). The decaying count of parts a cell and the hash of the replica order are modules of their own, as the pool of links needs both.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -18,9 +18,11 @@
 //! 6. an early end for a scan that can no longer be answered (`Mixer::settle`)
 
 use crate::chance::Chance;
+use crate::decaying_count::DecayingCount;
 use crate::replica_set::ReplicaSets;
 use crate::slow_start::{Allowance, SlowStart, StartsTold};
 use crate::*;
+use rustc_hash::FxHashMap;
 use slab::Slab;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::mem::{replace, take};
@@ -77,30 +79,30 @@
     }
 }
 
-/// How many parts went to a cell, over ten seconds, which smooth, and two, which see a burst in time.
+/// Over how long the parts of a cell are counted: long enough to smooth, and short enough to see a burst in time.
+const SMOOTH_OVER: Span = Span::of_millis(10_000);
+const BURST_OVER: Span = Span::of_millis(2_000);
+
+/// How many parts went to a cell.
 #[derive(Clone, Copy, Default)]
 struct Flow {
-    long: f64,
-    short: f64,
-    at: Moment,
+    long: DecayingCount,
+    short: DecayingCount,
 }
 
 impl Flow {
-    fn at(&self, now: Moment) -> Flow {
-        let fades = |count: f64, over: f64| count * (-now.since(self.at).as_f64() / over).exp();
-        Flow { long: fades(self.long, 1e7), short: fades(self.short, 2e6), at: now }
-    }
-
     fn note(&mut self, now: Moment) {
-        let faded = self.at(now);
-        *self = Flow { long: faded.long + 1.0, short: faded.short + 1.0, ..faded };
+        self.long.note(now, SMOOTH_OVER);
+        self.short.note(now, BURST_OVER);
     }
 
     /// Parts a microsecond, where all has been counted for so long. Before anything is known one part in
     /// three seconds is: less would let a mixer that starts from nothing send a fresh searcher all at once.
     fn rate(&self, now: Moment, counted: Span) -> f64 {
-        let (faded, counted) = (self.at(now), counted.as_f64());
-        ((faded.long + 1.0) / (1e7 * (1.0 - (-counted / 1e7).exp()) + 3e6)).max(faded.short / 2e6)
+        let (long, short) = (self.long.at(now, SMOOTH_OVER), self.short.at(now, BURST_OVER));
+        let (smooth, burst) = (SMOOTH_OVER.as_f64(), BURST_OVER.as_f64());
+        let seen = smooth * (1.0 - (-counted.as_f64() / smooth).exp());
+        ((long + 1.0) / (seen + 3e6)).max(short / burst)
     }
 }
 
@@ -172,7 +174,7 @@
 #[derive(Default)]
 pub struct Roster {
     /// Who is listed; who is not any more goes with the next news, once all it owes has landed.
-    seats: BTreeMap<Searcher, Seat>,
+    seats: FxHashMap<Searcher, Seat>,
     /// The sum of the latencies known, and their number.
     known: (f64, f64),
     cells: u32,
@@ -262,10 +264,11 @@
         before
     }
 
-    fn holders(&self, shard: u32) -> impl Iterator<Item = Searcher> + '_ {
+    /// The replicas of a shard among which this mixer chooses.
+    fn holders(&self, shard: u32) -> impl Iterator<Item = &Seat> + '_ {
         let cells = (0..self.width.min(self.cells)).map(move |next| (shard % self.cells + next) % self.cells);
-        let is_up = |searcher: Searcher| self.seats[&searcher].down.is_none();
-        cells.flat_map(move |cell| self.replicas.candidates(cell, is_up))
+        let seat = |searcher: Searcher| &self.seats[&searcher];
+        cells.flat_map(move |cell| self.replicas.candidates(cell, seat, |seat| seat.down.is_none()))
     }
 
     /// Whoever is not ready and owes nothing leaves.
@@ -350,11 +353,13 @@
     /// part, by their share in the sort, so that who fails fast draws no parts. Hurts bad luck.
     fn place(&mut self, now: Moment, shard: u32, by: Sort, luck: f64, not: &[Searcher]) -> Option<Searcher> {
         let closed = self.closed(now, shard, luck);
-        let mut holders: Vec<Searcher> = self.holders(shard).filter(|s| !not.contains(s)).collect();
-        let first = self.chance.below(holders.len().max(1));
+        let mut chance = take(&mut self.chance);
+        let others = |seat: &&Seat| !not.contains(&seat.told.searcher);
+        let mut holders: Vec<&Seat> = self.holders(shard).filter(others).collect();
+        let first = chance.below(holders.len().max(1));
         holders.rotate_left(first);
-        let score = |searcher: Searcher| {
-            let seat = &self.seats[&searcher];
+        let score = |seat: &Seat| {
+            let searcher = seat.told.searcher;
             let standing = self.standing(now, seat);
             let failing = seat.failing.get(by.0).map_or(0.0, |share| share * self.fading(now, seat));
             // Within three tenths smoothed latencies are alike: a tie goes to where crossing has no price.
@@ -366,33 +371,35 @@
                 None => Some((latency * (seat.calls_out(self.per_call) + 1) as f64, searcher)),
             }
         };
-        holders.into_iter().filter_map(score).min_by(|a, b| a.0.total_cmp(&b.0)).map(|best| best.1)
+        let best = holders.into_iter().filter_map(score).min_by(|a, b| a.0.total_cmp(&b.0));
+        let best = best.map(|(_, searcher)| searcher);
+        self.chance = chance;
+        best
     }
 
     /// The fresh replicas of a shard that take no part of a scan of this luck: so many are kept off that
     /// what falls to the others by their latency stays within the pace. Luck is drawn once a scan: if each
     /// cell drew anew, hardly one of many parts would find all open. Turns were lost where no part came by.
     fn closed(&self, now: Moment, shard: u32, luck: f64) -> Vec<Searcher> {
-        let up = |to: &Searcher| self.seats[to].down.is_none();
-        if self.holders(shard).all(|to| self.seats[&to].fresh.is_none()) {
+        let up = |seat: &&Seat| seat.down.is_none();
+        if self.holders(shard).all(|seat| seat.fresh.is_none()) {
             return Vec::new();
         }
-        let draws = |to: Searcher| 1.0 / self.standing(now, &self.seats[&to]).max(1.0);
+        let draws = |seat: &Seat| 1.0 / self.standing(now, seat).max(1.0);
         let drawn: f64 = self.holders(shard).filter(up).map(draws).sum();
         let flow = self.flows.get(&(shard % self.cells)).copied().unwrap_or_default();
-        let sharers = |to: Searcher| self.replicas.sharers(self.seats[&to].told.cell);
         let rate = flow.rate(now, now.since(self.begun.unwrap_or(now))) * f64::from(self.width.max(1));
-        let keeps_off = |to: &Searcher| {
-            let seat = &self.seats[to];
+        let keeps_off = |seat: &&Seat| {
             let Some((since, answers)) = seat.fresh.filter(|(since, _)| self.cold.is_cold(*since, now))
             else {
                 return false;
             };
-            let falls = rate * draws(*to) / drawn;
-            let share = self.cold.share(since, self.shortest, falls, sharers(*to), now);
-            up(to) && (seat.out.len() > answers || luck >= share || self.allowed(seat, now) < 1.0)
+            let falls = rate * draws(seat) / drawn;
+            let sharers = self.replicas.sharers(seat.told.cell);
+            let share = self.cold.share(since, self.shortest, falls, sharers, now);
+            up(seat) && (seat.out.len() > answers || luck >= share || self.allowed(seat, now) < 1.0)
         };
-        self.holders(shard).filter(keeps_off).collect()
+        self.holders(shard).filter(keeps_off).map(|seat| seat.told.searcher).collect()
     }
 
     /// How many parts may go to a searcher now for its slow start.
@@ -423,8 +430,11 @@
             let open = (turn || standing * 1.5 < left) && !closed.contains(&s.told.searcher);
             f64::from(open) * room.max(0.0).ceil().min(self.allowed(s, now))
         };
-        let up = self.holders(shard).map(|s| &self.seats[&s]).filter(|s| s.down.is_none());
-        up.map(free).reduce(|a, b| a + b).is_none_or(|room| room >= parts as f64)
+        self.holders(shard)
+            .filter(|seat| seat.down.is_none())
+            .map(free)
+            .reduce(|a, b| a + b)
+            .is_none_or(|room| room >= parts as f64)
     }
 
     /// Notes a relay, and tells whether its connection is to be trusted no more: relays after such pauses or
@@ -656,7 +666,8 @@
         self.roster.begun.get_or_insert(now);
         let listed: BTreeSet<Searcher> = listings.iter().map(|told| told.searcher).collect();
         let all = self.roster.seats.values().filter(|_| whole).map(|s| Listing { ready: false, ..s.told });
-        let gone: Vec<Listing> = all.filter(|told| !listed.contains(&told.searcher)).collect();
+        let mut gone: Vec<Listing> = all.filter(|told| !listed.contains(&told.searcher)).collect();
+        gone.sort_by_key(|told| told.searcher);
         let list = match self.has_list {
             true => StartsTold::SinceLastList,
             false => StartsTold::First { newest: listings.iter().filter_map(|told| told.started).max() },
@@ -865,7 +876,7 @@
         let Some(scan) = self.scans.get_mut(&id).filter(may) else { return };
         let (part, left) = (&scan.parts[at], scan.ends.since(host.now()));
         let needed = (2.0 * SLACK..self.types[scan.traffic_type].floor).contains(&(scan.hope() + SLACK));
-        let untried = self.roster.holders(part.taken.shard).any(|to| !part.tried.contains(&to));
+        let untried = self.roster.holders(part.taken.shard).any(|s| !part.tried.contains(&s.told.searcher));
         if needed && untried && left.as_f64() > 2.0 * self.roster.shortest {
             scan.parts[at].lost = false;
             self.later(host, left * 0.125, move |mixer, host| {
--- /dev/null
+++ b/src/decaying_count.rs
@@ -0,0 +1,23 @@
+//! A count of events that decays exponentially with time, by which frequent and recent things are told from rare and
+//! old ones.
+
+use crate::{Moment, Span};
+
+/// Events noted so far, each counted less the longer ago it was.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DecayingCount {
+    count: f64,
+    at: Moment,
+}
+
+impl DecayingCount {
+    /// The count now, where an event counts 1/e after the time constant `over`.
+    pub fn at(&self, now: Moment, over: Span) -> f64 {
+        self.count * (-now.since(self.at).as_f64() / over.as_f64()).exp()
+    }
+
+    /// Counts one event.
+    pub fn note(&mut self, now: Moment, over: Span) {
+        *self = Self { count: self.at(now, over) + 1.0, at: now };
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod chance;
 pub mod choice;
+pub mod decaying_count;
+pub mod mix;
 mod replica_set;
 pub mod slow_start;
 
@@ -81,7 +83,7 @@
 
 /// A searcher, numbered by the front. A number is never given twice: what comes late for one that has gone
 /// finds nobody, also where one of that name is back.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Searcher(pub u32);
 
 /// Names what the module left behind to be done with a result: hand it back with that result.
--- a/src/replica_set.rs
+++ b/src/replica_set.rs
@@ -4,6 +4,7 @@
 //! that a mixer makes. Where a cell is large each mixer keeps to a subset in an order of its own: the subsets of all
 //! mixers cover the cell several times over, and who is down is replaced by the next in the order.
 
+use crate::mix::mix;
 use crate::Searcher;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -65,25 +66,26 @@
             replicas.order = replicas.ready.iter().copied().collect();
             if replicas.order.len() > replicas.candidates {
                 let seed = self.seed;
-                replicas.order.sort_by_cached_key(|searcher| mixed(seed ^ u64::from(searcher.0)));
+                replicas.order.sort_by_cached_key(|searcher| mix(seed ^ u64::from(searcher.0)));
             }
         }
     }
 
-    /// The candidates of a cell: so many that are up, and the down ones that stand among them.
-    pub fn candidates<'a>(
+    /// The candidates of a cell, as `look` finds them: so many that are up, and the down ones that stand among them.
+    pub fn candidates<'a, Replica: Copy + 'a>(
         &'a self,
         cell: u32,
-        is_up: impl Fn(Searcher) -> bool + 'a,
-    ) -> impl Iterator<Item = Searcher> + 'a {
+        look: impl Fn(Searcher) -> Replica + 'a,
+        is_up: impl Fn(Replica) -> bool + 'a,
+    ) -> impl Iterator<Item = Replica> + 'a {
         let replicas = self.cells.get(&cell);
         let most = replicas.map_or(0, |replicas| replicas.candidates);
         let order = replicas.map_or(&[][..], |replicas| &replicas.order);
         let mut up = 0;
-        order.iter().copied().take_while(move |searcher| {
-            let has_room = up < most;
-            up += usize::from(is_up(*searcher));
-            has_room
+        order.iter().map_while(move |searcher| {
+            let replica = (up < most).then(|| look(*searcher))?;
+            up += usize::from(is_up(replica));
+            Some(replica)
         })
     }
 
@@ -99,11 +101,3 @@
         (mean + 2.0 * mean.sqrt()).clamp(1.0, self.fleet)
     }
 }
-
-/// Spreads what differs little (the finalizer of MurmurHash3).
-fn mixed(mut bits: u64) -> u64 {
-    for factor in [0xff51_afd7_ed55_8ccd, 0xc4ce_b9fe_1a85_ec53] {
-        bits = (bits ^ (bits >> 33)).wrapping_mul(factor);
-    }
-    bits ^ (bits >> 33)
-}
