A signal is a flag; what goes over sockets for it only wakes the mixer

Callers saw: a mixer told to stop went on serving until the kill, and what was in flight then was lost; a mixer told of a new configuration kept the old one. No line of the log told why. Cause: async-signal carries each signal as four bytes through a pair of sockets. Its handler drops a record whose write fails; a short one shifts all later ones; next_heard passed over the errors that numbers of no signal give. Mend: program/signals.rs takes flags that the handlers set (signal-hook in place of async-signal). A lost, repeated or interrupted wake changes only when the flags are looked at, ten times a second at the least. Errors of the wakes are logged once.

--- a/crates/admission/src/descriptors.rs
+++ b/crates/admission/src/descriptors.rs
@@ -4,7 +4,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Descriptors {
     /// Standard streams, the poller's, signals', the listener, discovery (its connection and its successor),
-    /// a file that is being read, the reserve that accepts and refuses when there is none left; and two spare.
+    /// a file that is being read, the reserve that accepts and refuses when there is none left; and one spare.
     pub fixed: usize,
     /// Connections that hear a refusal.
     pub told: usize,
@@ -12,8 +12,8 @@
     pub clients: usize,
 }
 
-/// Counted on a running mixer: 3 streams, 4 of the poller, 2 of signals, 1 listener, 2 for discovery, 1 file,
-/// 1 reserve; and 2 spare, for what the standard library opens for a moment.
+/// Counted on a running mixer: 3 streams, 3 of the poller, 4 of signals, 1 listener, 2 for discovery, 1 file,
+/// 1 reserve; and 1 spare, for what the standard library opens for a moment.
 const FIXED: usize = 16;
 /// With fewer there is hardly a place for anybody.
 const LEAST: usize = 24;
--- a/crates/mixer/src/program/hub.rs
+++ b/crates/mixer/src/program/hub.rs
@@ -6,14 +6,14 @@
 use super::handle::Handle;
 use super::identity::Identity;
 use super::links::Links;
+use super::signals::{Signal, Signals};
 use super::{watch, Orders};
 use crate::routing::{reduce, Effect, Ending, Event, State};
 use crate::transport::{is_local_fault, listen, Bell};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use async_signal::{Signal, Signals};
 use fernglade::Moment;
-use futures_lite::{future, StreamExt};
+use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
@@ -54,8 +54,7 @@
     for at in &at {
         listeners.push(listen_in_time(*at).await.map_err(|error| format!("cannot listen on {at}: {error}"))?);
     }
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
-        .map_err(|e| format!("cannot take signals: {e}"))?;
+    let signals = Signals::new().map_err(|error| format!("cannot take signals: {error}"))?;
     let who = Rc::new(Identity::new(&orders));
     let known = who.clone();
     let hub = Rc::new_cyclic(|hub: &std::rc::Weak<Hub>| {
@@ -144,14 +143,13 @@
     Signal(Signal),
     /// The configuration could not be used, and is to be read again.
     Retry,
-    NoMore,
 }
 
 async fn heed(handle: Handle, mut signals: Signals, operator: Option<PathBuf>, who: Rc<Identity>) {
     let mut retries = [].iter();
     loop {
         match next_heard(&mut signals, &mut retries).await {
-            Heard::Signal(Signal::Hup) => {
+            Heard::Signal(Signal::HangUp) => {
                 let used = read_again(&handle, operator.as_deref(), &who);
                 retries = if used { [].iter() } else { READ_AGAIN_AFTER_MS.iter() };
             }
@@ -164,7 +162,6 @@
                 log::info!("told to stop by {signal:?}");
                 handle.feed(Event::StopAsked);
             }
-            Heard::NoMore => return,
         }
     }
 }
@@ -178,15 +175,7 @@
         }
         Heard::Retry
     };
-    let signal = async {
-        loop {
-            match signals.next().await {
-                Some(Ok(signal)) => return Heard::Signal(signal),
-                Some(Err(_)) => {}
-                None => return Heard::NoMore,
-            }
-        }
-    };
+    let signal = async { Heard::Signal(signals.next().await) };
     future::or(signal, retry).await
 }
 
--- a/crates/mixer/src/program/mod.rs
+++ b/crates/mixer/src/program/mod.rs
@@ -11,6 +11,7 @@
 mod listening;
 mod orders;
 mod refusals;
+mod signals;
 mod watch;
 
 pub use hub::run;
--- /dev/null
+++ b/crates/mixer/src/program/signals.rs
@@ -0,0 +1,104 @@
+//! Signals that the mixer is sent.
+//!
+//! That a signal came is kept as a flag, which its handler sets. A byte through a pair of sockets wakes the task that
+//! takes the flags; nothing is read from it. So a wake that is lost, repeated or interrupted changes nothing but when
+//! the flags are looked at, and that is bounded by [`CHECK_EVERY`]. Guards against writes in a handler that fail, which
+//! nobody is told of: a signal that went as bytes was lost with them. Hurts an idle mixer by ten looks a second.
+
+use crate::transport::uninterrupted;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::{flag, low_level::pipe};
+use std::io::{self, Read};
+use std::os::unix::net::UnixStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a signal whose wake was lost waits at the most.
+const CHECK_EVERY: Duration = Duration::from_millis(100);
+
+/// The signals that are taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    Terminate,
+    Interrupt,
+    HangUp,
+}
+
+impl Signal {
+    const ALL: [Self; 3] = [Self::Terminate, Self::Interrupt, Self::HangUp];
+
+    fn number(self) -> i32 {
+        match self {
+            Self::Terminate => SIGTERM,
+            Self::Interrupt => SIGINT,
+            Self::HangUp => SIGHUP,
+        }
+    }
+}
+
+/// Signals that have come and were not taken yet.
+pub struct Signals {
+    pending: Vec<(Signal, Arc<AtomicBool>)>,
+    wakes: Async<UnixStream>,
+    /// An error of the wakes was logged; further ones are not.
+    failed: bool,
+}
+
+impl Signals {
+    /// From now on the signals do not end the process.
+    pub fn new() -> io::Result<Self> {
+        let (wakes, wake) = UnixStream::pair()?;
+        let mut pending = Vec::new();
+        for signal in Signal::ALL {
+            let came = Arc::new(AtomicBool::new(false));
+            // Handlers run in this order: the flag is set before the wake.
+            flag::register(signal.number(), came.clone())?;
+            pipe::register(signal.number(), wake.try_clone()?)?;
+            pending.push((signal, came));
+        }
+        Ok(Self { pending, wakes: Async::new(wakes)?, failed: false })
+    }
+
+    /// The next signal. One that came several times before it was taken is taken once.
+    pub async fn next(&mut self) -> Signal {
+        loop {
+            if let Some(signal) = self.take() {
+                return signal;
+            }
+            if let Err(error) = self.woken().await {
+                self.note(&error);
+                // The wakes may stay readable: waiting for them at once would not wait.
+                Timer::after(CHECK_EVERY).await;
+            }
+        }
+    }
+
+    /// Waits for a wake, and no longer than until the flags are to be looked at anyhow.
+    async fn woken(&self) -> io::Result<()> {
+        let wake = async {
+            self.wakes.readable().await?;
+            let mut socket = self.wakes.get_ref();
+            uninterrupted(|| socket.read(&mut [0; 64])).map(drop)
+        };
+        let check = async {
+            Timer::after(CHECK_EVERY).await;
+            Ok(())
+        };
+        future::or(wake, check).await
+    }
+
+    fn take(&self) -> Option<Signal> {
+        let came = self.pending.iter().find(|(_, came)| came.swap(false, Ordering::SeqCst));
+        came.map(|(signal, _)| *signal)
+    }
+
+    fn note(&mut self, error: &io::Error) {
+        let odd = error.kind() != io::ErrorKind::WouldBlock;
+        if odd && !std::mem::replace(&mut self.failed, true) {
+            log::warn!("wakes of signals fail, which are looked for {CHECK_EVERY:?} apart now: {error}");
+        }
+    }
+}
