A log that nobody reads holds nobody up: lines go where they are taken at once, or are counted

Callers saw: nothing any more. A mixer whose log's reader hangs stands in write(2, ...) once the pipe is full (64 KiB), on the one thread that does all else; with a full pipe at the start it never serves. Cause: env_logger writes to standard error by blocking calls. Shown with a full pipe: /proc/PID/syscall is write on descriptor 2, wchan anon_pipe_write; the first run of the new test waited 20 minutes for such a mixer. Mend: program/log_writer.rs asks by poll, with no wait, whether a line is taken now; else the line is dropped, and the number of dropped lines is written before the next. Lines are cut at PIPE_BUF, as more may wait. The rig's wait for a mixer that never serves is bounded by 20 s.

--- a/crates/mixer/src/main.rs
+++ b/crates/mixer/src/main.rs
@@ -22,7 +22,9 @@
 
 fn main() -> ExitCode {
     let call = Call::parse();
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .target(env_logger::Target::Pipe(Box::new(program::LogWriter::default())))
+        .init();
     let orders = Orders::read(call.operator.as_deref(), |name| std::env::var(name).ok());
     match orders.and_then(program::run) {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/mixer/src/program/log_writer.rs
@@ -0,0 +1,54 @@
+//! Where lines of the log go: to standard error, as long as that takes them at once.
+//!
+//! A line that it does not take is dropped and counted, and the count is written before the next line that it does.
+//! Guards against a reader of the log that hangs: standard error is a pipe then that fills up, and a write to it would
+//! hold up all that the mixer does. Hurts whoever wants each line of a log that comes faster than it is read.
+
+use crate::transport::uninterrupted;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use std::io::{self, Write};
+
+/// A pipe that can be written to takes so many bytes at once (`PIPE_BUF`); a longer line is cut.
+const LONGEST_LINE: usize = 4096;
+const AT_ONCE: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
+
+/// Takes one line a call, and never waits.
+#[derive(Default)]
+pub struct LogWriter {
+    /// Lines dropped since the last one that was written.
+    dropped: u64,
+}
+
+impl LogWriter {
+    fn write_line(&mut self, line: &[u8]) -> io::Result<()> {
+        if self.dropped > 0 {
+            write_at_once(format!("{} lines of the log could not be written\n", self.dropped).as_bytes())?;
+            self.dropped = 0;
+        }
+        write_at_once(line)
+    }
+}
+
+impl Write for LogWriter {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if self.write_line(line).is_err() {
+            self.dropped += 1;
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes a line, or nothing where that would have to be waited for.
+fn write_at_once(line: &[u8]) -> io::Result<()> {
+    let mut stderr = io::stderr();
+    let mut ready = [PollFd::new(&stderr, PollFlags::OUT)];
+    if poll(&mut ready, Some(&AT_ONCE))? == 0 || !ready[0].revents().contains(PollFlags::OUT) {
+        return Err(io::ErrorKind::WouldBlock.into());
+    }
+    let fits = &line[..line.len().min(LONGEST_LINE)];
+    uninterrupted(|| stderr.write(fits)).map(drop)
+}
--- a/crates/mixer/src/program/mod.rs
+++ b/crates/mixer/src/program/mod.rs
@@ -9,10 +9,12 @@
 mod identity;
 mod links;
 mod listening;
+mod log_writer;
 mod orders;
 mod refusals;
 mod signals;
 mod watch;
 
 pub use hub::run;
+pub use log_writer::LogWriter;
 pub use orders::Orders;
--- a/crates/standins/src/child.rs
+++ b/crates/standins/src/child.rs
@@ -7,7 +7,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Orders for one mixer: `look` may run again, `fix` never, once it may have run.
 pub fn orders(listen: &str, discovery: SocketAddr, known: &str) -> String {
@@ -69,6 +69,14 @@
     served(Mixer { child, at, files: std::iter::once(orders).chain(operator).collect() })
 }
 
+/// Starts `program` with its log going where it is told.
+pub fn start_with_log(program: &Path, orders: PathBuf, at: SocketAddr, log: Stdio) -> Mixer {
+    let mut command = Command::new(program);
+    command.env("ROUTER_CONFIG", &orders).stdin(Stdio::null()).stderr(log);
+    let child = command.spawn().expect("the program starts");
+    served(Mixer { child, at, files: vec![orders] })
+}
+
 /// A system call that fails: which, with what error, and at which of its uses (`FIRST+STEP`, as strace has it).
 #[derive(Clone, Copy)]
 pub struct SystemFault {
@@ -105,10 +113,16 @@
     served(Mixer { child, at, files: vec![orders, log] })
 }
 
+/// How long a mixer may take until it serves, and to answer whether it does.
+const SERVES_WITHIN: Duration = Duration::from_secs(20);
+const ANSWERS_WITHIN: Duration = Duration::from_secs(2);
+
 pub fn served(mixer: Mixer) -> Mixer {
-    for _ in 0..400 {
+    let began = Instant::now();
+    while began.elapsed() < SERVES_WITHIN {
         if let Ok(stream) = std::net::TcpStream::connect(mixer.at) {
             let mut asks = crate::client::reader(stream);
+            let _ = asks.get_mut().set_read_timeout(Some(ANSWERS_WITHIN));
             if asks.get_mut().write_all(HEALTH.as_bytes()).is_ok()
                 && try_answer(&mut asks).is_ok_and(|a| a.0 == 200)
             {
