What was out before a connection failed shows that its searcher did not start anew

Cause: any word from a searcher that is marked down lifted the mark as a check does, and so began a slow start; also the answer to a part that was out before the connection failed, over another that lived on. Mend: Mixer::reached_or_not lifts the mark alone there. A process that started anew has no connection from before, so the rule on slow start binds whatever started; a check that passes, or an answer to what left after the mark, begins it as before.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -85,8 +85,9 @@
     lost: Option<Moment>,
     /// When it was last asked whether it is there, and whether it has told anything since.
     asked: Option<(Moment, bool)>,
-    /// Down: when it is to be checked next.
+    /// Down: when it is to be checked next, and since when.
     down: Option<Moment>,
+    down_since: Moment,
 }
 
 impl Seat {
@@ -756,7 +757,7 @@
         }
         let relay = Ticket(self.landings.insert(Box::new(move |mixer, host, (how, took)| {
             let died = mixer.roster.note_landed(host.now(), &leg, how, took.as_f64());
-            mixer.reached_or_not(host, to, how);
+            mixer.reached_or_not(host, &leg, how);
             if let Some(fleet) = &mut mixer.fleet {
                 let shortest = Span::of_micros(mixer.roster.shortest as u64);
                 fleet.landed(host.now(), &Heard { cell, how, took, quoted: sort.1, shortest });
@@ -918,11 +919,19 @@
 
     /// The design's down mark: a connection failure sets it, a check that passes or any word from it lifts
     /// it. Parts that were out when a connection broke do not: they may have run, and count as failures.
-    fn reached_or_not(&mut self, host: &mut dyn Host, searcher: Searcher, how: Landing) {
-        if how == Landing::Unreached && self.roster.seats.get(&searcher).is_some_and(|s| s.down.is_none()) {
-            self.check_later(host, searcher, true);
-        } else if matches!(how, Landing::Honoured | Landing::Erred | Landing::TurnedAway) {
-            self.checked(host, searcher, true);
+    fn reached_or_not(&mut self, host: &mut dyn Host, leg: &Leg, how: Landing) {
+        let Some(seat) = self.roster.seats.get_mut(&leg.to) else { return };
+        match how {
+            Landing::Unreached if seat.down.is_none() => self.check_later(host, leg.to, true),
+            Landing::Honoured | Landing::Erred | Landing::TurnedAway => {
+                // What was out before the mark came back over a connection that lived on: there was no start, and
+                // the one that failed was late or lost. A slow start would hurt all that need this replica.
+                if leg.left < seat.down_since {
+                    seat.down = None;
+                }
+                self.checked(host, leg.to, true);
+            }
+            _ => {}
         }
     }
 
@@ -934,7 +943,12 @@
     fn check_later(&mut self, host: &mut dyn Host, searcher: Searcher, first: bool) {
         let wait = self.asks_in(first);
         let due = host.now() + wait;
-        self.roster.seats.get_mut(&searcher).into_iter().for_each(|seat| seat.down = Some(due));
+        if let Some(seat) = self.roster.seats.get_mut(&searcher) {
+            if seat.down.is_none() {
+                seat.down_since = host.now();
+            }
+            seat.down = Some(due);
+        }
         self.later(host, wait, move |mixer, host| {
             let down = mixer.roster.seats.get(&searcher).is_some_and(|seat| seat.down == Some(due));
             if mixer.roster.may_check && down {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -925,3 +925,44 @@
     assert_eq!(story.host.ending(taken), Some(Ending::Whole));
     assert_eq!(*heard.borrow(), [0, 1, 2].map(|cell| (cell, Landing::Honoured)));
 }
+
+/// What happens: one connection of a searcher comes up late, and a part that is out on another is answered. Why it went
+/// wrong: any word from a searcher that is marked down lifted the mark as a check does, so it was taken for one that has
+/// just started, and got next to nothing for seconds. What showed it: panels of zone+brink, where a third of the
+/// connections come up late, served less by a fifth than before slow start was counted.
+#[test]
+fn a_part_that_was_out_before_a_connection_failed_shows_that_its_searcher_did_not_start_anew() {
+    let before = sent_after_a_late_connection(false);
+    let after = sent_after_a_late_connection(true);
+    assert!(before <= 2, "a check alone tells of no life before it: {before} parts in a slow start");
+    assert!(after > 2 * before.max(1), "{after} parts to one that lived on, {before} in a slow start");
+}
+
+/// How many parts one of three searchers gets after a connection to it failed; and before that, where it `lives_on`, a
+/// part was out there that is answered now. Else a check passes.
+fn sent_after_a_late_connection(lives_on: bool) -> usize {
+    let mut story = story(whole_only());
+    story.mixer = host::mixer(vec![whole_only()], 20.0, RetryBudget::new(3, None), true);
+    story.list(true, &[(0, true), (1, true), (2, true)], None);
+    story.settle_in(100);
+    let early = story.scan(3);
+    let out = story.out(early)[0];
+    story.pass(10);
+    let late = loop {
+        let id = story.scan(3);
+        if let Some(relay) = story.out(id).into_iter().find(|relay| relay.to == out.to) {
+            break relay;
+        }
+    };
+    story.pass(50);
+    story.land(late, Landing::Unreached);
+    if lives_on {
+        story.land(out, Landing::Honoured);
+    } else {
+        story.land(out, Landing::Dropped);
+        story.mixer.checked(&mut story.host, Searcher(out.to), true);
+    }
+    let others: Vec<_> = story.host.relays.iter().filter(|relay| !relay.landed).copied().collect();
+    others.into_iter().for_each(|relay| story.land(relay, Landing::Honoured));
+    sent_to(&mut story, out.to, 18)
+}
