--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -929,7 +929,7 @@
 /// What happens: one connection of a searcher comes up late, and a part that is out on another is answered. Why it went
 /// wrong: any word from a searcher that is marked down lifted the mark as a check does, so it was taken for one that has
 /// just started, and got next to nothing for seconds. What showed it: panels of zone+brink, where a third of the
-/// connections come up late, served less by a fifth than before slow start was counted.
+/// connections come up late, served 0.588 in the mean of ten, and 0.659 before slow start was counted.
 #[test]
 fn a_part_that_was_out_before_a_connection_failed_shows_that_its_searcher_did_not_start_anew() {
     let before = sent_after_a_late_connection(false);
