--- a/crates/standins/src/child.rs
+++ b/crates/standins/src/child.rs
@@ -92,7 +92,6 @@
 }
 
 /// Starts `program` under strace, which has system calls of it fail. Its log goes to a file beside the orders.
-/// The program stays the direct child: the tracer detaches itself from the test.
 pub fn start_with_system_faults(
     program: &Path,
     orders: PathBuf,
@@ -100,14 +99,25 @@
     faults: &[SystemFault],
 ) -> Mixer {
     let calls: Vec<&str> = faults.iter().map(|fault| fault.call).collect();
+    let mut arguments = ["--seccomp-bpf", "-o", "/dev/null", "-e"].map(String::from).to_vec();
+    arguments.push(format!("trace={}", calls.join(",")));
+    arguments.extend(faults.iter().flat_map(|fault| ["-e".to_string(), fault.argument()]));
+    start_under_strace(program, orders, at, &arguments)
+}
+
+/// Starts `program` under strace, which writes how often it made each system call to `counts` at its end.
+pub fn start_counting_calls(program: &Path, orders: PathBuf, at: SocketAddr, counts: &Path) -> Mixer {
+    let arguments = ["-c", "-U", "calls,name", "-o"].map(String::from).to_vec();
+    let arguments = [arguments, vec![counts.display().to_string()]].concat();
+    start_under_strace(program, orders, at, &arguments)
+}
+
+/// The program stays the direct child: the tracer detaches itself from the test.
+fn start_under_strace(program: &Path, orders: PathBuf, at: SocketAddr, arguments: &[String]) -> Mixer {
     let log = orders.with_extension("log");
-    let mut command = Command::new("strace");
-    command.args(["-D", "-f", "-qq", "--seccomp-bpf", "-o", "/dev/null"]);
-    command.arg("-e").arg(format!("trace={}", calls.join(",")));
-    for fault in faults {
-        command.arg("-e").arg(fault.argument());
-    }
     let stderr = std::fs::File::create(&log).expect("a log can be written");
+    let mut command = Command::new("strace");
+    command.args(["-D", "-f", "-qq"]).args(arguments);
     command.arg(program).env("ROUTER_CONFIG", &orders).stdin(Stdio::null()).stderr(stderr);
     let child = command.spawn().expect("strace is installed (.ci/run does so)");
     served(Mixer { child, at, files: vec![orders, log] })
