A socket is registered with the poller once, and looked at again by time

Callers saw: with one call of epoll_ctl in seven failing (ENOMEM, ENOSPC) no answer: 13 of 180 requests served on new connections, 0 of 180 on kept ones, 0 of 180 with every second call. The listed test: 37 of 40 with no answer in 5 s. Cause: the runtime's one-shot events have to be armed anew by calls that fail. Its poller armed its own notifier after each wait and gave up the events it had fetched where that failed. Mend: transport/reactor.rs and transport/socket.rs in place of async-io in the mixer. A socket is registered once, edge-triggered, when it is first waited for, and outlives a registration that fails; each wait ends by time too, and the call is made again. No call that can fail stands between an event and its task any more. Clients::let_in can't fail.

--- a/crates/mixer/src/program/accepting.rs
+++ b/crates/mixer/src/program/accepting.rs
@@ -6,8 +6,7 @@
 use super::refusals::refuse_alone;
 use crate::protocol::scans::bounce;
 use crate::routing::Event;
-use crate::transport::{accept, Accepted, Bell, Reserve};
-use async_io::{Async, Timer};
+use crate::transport::{accept, sleep, Accepted, Bell, Direction, Reserve, Socket, Wait};
 use fernglade_admission::{AfterFailure, Shortage};
 use futures_lite::future;
 use std::cell::Cell;
@@ -44,16 +43,12 @@
         self.moved.ring();
     }
 
-    /// Waits until somebody stands outside; false where the door was opened or shut instead.
-    async fn somebody(&self, listener: &Async<TcpListener>) -> bool {
-        let moved = async {
-            self.moved.wait().await;
-            false
-        };
+    /// Waits until somebody may stand outside, or the door is opened or shut.
+    async fn somebody(&self, listener: &Socket<TcpListener>) {
         if self.full.get() {
-            return moved.await;
+            return self.moved.wait().await;
         }
-        future::or(moved, async { listener.readable().await.is_ok() }).await
+        future::or(self.moved.wait(), listener.wait(Direction::Read, &mut Wait::default())).await;
     }
 
     fn takes_more(&self) -> bool {
@@ -61,18 +56,26 @@
     }
 }
 
+/// What a batch of accepts leaves of the backlog.
+enum Backlog {
+    /// Nobody stands there who is to be let in now.
+    Emptied,
+    /// Somebody may.
+    Left,
+}
+
 /// One listener, and what it meets.
 struct Accepting {
     clients: Rc<Clients>,
     handle: Handle,
-    listener: Async<TcpListener>,
+    listener: Socket<TcpListener>,
     shortage: Shortage,
     reserve: Reserve,
     told: Option<Instant>,
 }
 
 /// Accepts until the door is shut, then lets in who stands in the backlog, and closes the listener.
-pub async fn accept_all(clients: Rc<Clients>, handle: Handle, which: usize, listener: Async<TcpListener>) {
+pub async fn accept_all(clients: Rc<Clients>, handle: Handle, which: usize, listener: Socket<TcpListener>) {
     let mut accepting = Accepting {
         clients: clients.clone(),
         handle: handle.clone(),
@@ -83,9 +86,9 @@
     };
     let door = clients.door(which);
     while !door.shut.get() {
-        if door.somebody(&accepting.listener).await {
-            accepting.batch(door).await;
-            future::yield_now().await;
+        match accepting.batch(door).await {
+            Backlog::Emptied => door.somebody(&accepting.listener).await,
+            Backlog::Left => future::yield_now().await,
         }
     }
     accepting.empty_backlog().await;
@@ -94,17 +97,22 @@
 }
 
 impl Accepting {
-    async fn batch(&mut self, door: &Door) {
+    /// Nobody is accepted where the door is not open.
+    async fn batch(&mut self, door: &Door) -> Backlog {
         for _ in 0..BATCH {
+            if !door.takes_more() {
+                return Backlog::Emptied;
+            }
             match accept(self.listener.get_ref()) {
                 Ok(Some(accepted)) => self.knock(accepted),
-                Ok(None) => return,
-                Err(error) => return self.failed(&error).await,
-            }
-            if !door.takes_more() {
-                return;
+                Ok(None) => return Backlog::Emptied,
+                Err(error) => {
+                    self.failed(&error).await;
+                    return Backlog::Left;
+                }
             }
         }
+        Backlog::Left
     }
 
     /// The system has taken in who stands outside: they are served, or told.
@@ -127,7 +135,7 @@
 
     async fn failed(&mut self, error: &io::Error) {
         match self.shortage.failed() {
-            AfterFailure::TryAgain(pause) => drop(Timer::after(duration(pause)).await),
+            AfterFailure::TryAgain(pause) => sleep(duration(pause)).await,
             AfterFailure::MakeRoom => self.make_room(error).await,
         }
     }
@@ -141,7 +149,7 @@
         self.handle.feed(Event::Short);
         match self.reserve.accept(self.listener.get_ref()) {
             Some(accepted) => refuse_alone(accepted.stream, &bounce(self.clients.come_back(), true)).await,
-            None => drop(Timer::after(SHORT_PAUSE).await),
+            None => sleep(SHORT_PAUSE).await,
         }
         self.reserve.restore();
     }
--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -8,8 +8,7 @@
 use crate::protocol::scans::{self, bounce};
 use crate::protocol::MOST_BODY;
 use crate::routing::{ClientId, Event, Reply};
-use crate::transport::{Accepted, Line};
-use async_io::{Async, Timer};
+use crate::transport::{sleep, Accepted, Line, Socket};
 use fernglade::Span;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -98,22 +97,12 @@
     /// Lets in one that waits on the porch.
     pub fn let_in(self: &Rc<Self>, handle: &Handle, client: ClientId) {
         let waited = self.pending.borrow_mut().remove(&client);
-        match waited.map(|(stream, since)| (Async::new(stream), since)) {
-            Some((Ok(stream), since)) => {
-                // Inside from now on: it may be sent off before its task has run once.
-                let connection = Rc::new(Connection::new());
-                self.inside.borrow_mut().insert(client, connection.clone());
-                handle.spawn(serve(
-                    self.clone(),
-                    handle.clone(),
-                    client,
-                    stream,
-                    connection,
-                    since.elapsed(),
-                ));
-            }
-            _ => handle.feed(Event::ClientGone(client)),
-        }
+        let Some((stream, since)) = waited else { return handle.feed(Event::ClientGone(client)) };
+        // Inside from now on: it may be sent off before its task has run once.
+        let connection = Rc::new(Connection::new());
+        self.inside.borrow_mut().insert(client, connection.clone());
+        let stream = Socket::new(stream);
+        handle.spawn(serve(self.clone(), handle.clone(), client, stream, connection, since.elapsed()));
     }
 
     pub fn turn_away(&self, client: ClientId, pause: Span) {
@@ -220,7 +209,7 @@
         if !self.line.outbox.push(0, bytes) {
             self.line.close();
         }
-        Timer::after(REST).await;
+        sleep(REST).await;
         if self.line.is_flooded() {
             self.line.close();
         }
--- a/crates/mixer/src/program/clients/tests.rs
+++ b/crates/mixer/src/program/clients/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::transport::accept;
+use crate::transport::{accept, Reactor};
 use async_executor::LocalExecutor;
 use futures_lite::future;
 use std::io::{Read, Write};
@@ -29,7 +29,7 @@
             future::yield_now().await;
         }
     };
-    async_io::block_on(executor.run(over));
+    Reactor::new().unwrap().block_on(executor.run(over));
     assert_eq!(client.read(&mut [0]).unwrap(), 0);
 }
 
@@ -44,7 +44,7 @@
     };
     let fetches = async {
         client.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
-        Timer::after(Duration::from_millis(15)).await;
+        sleep(Duration::from_millis(15)).await;
         assert!(!over.get(), "nobody has fetched it");
         let mut told = String::new();
         client.read_to_string(&mut told).unwrap();
@@ -54,6 +54,6 @@
     let both = async {
         future::zip(ends, fetches).await;
     };
-    async_io::block_on(future::or(both, clients.refusals().look_after()));
+    Reactor::new().unwrap().block_on(future::or(both, clients.refusals().look_after()));
     assert!(over.get());
 }
--- a/crates/mixer/src/program/hub.rs
+++ b/crates/mixer/src/program/hub.rs
@@ -9,9 +9,8 @@
 use super::signals::{Signal, Signals};
 use super::{watch, Orders};
 use crate::routing::{reduce, Effect, Ending, Event, State};
-use crate::transport::{is_local_fault, listen, Bell};
+use crate::transport::{is_local_fault, listen, sleep, sleep_until, Bell, Reactor, Socket};
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
 use fernglade::Moment;
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
@@ -39,7 +38,8 @@
 /// Serves until it is told to stop and all is done.
 pub fn run(orders: Orders) -> Result<(), String> {
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.clone().run(serve(orders, executor)))
+    let reactor = Reactor::new().map_err(|error| format!("cannot wait for events: {error}"))?;
+    reactor.block_on(executor.clone().run(serve(orders, executor)))
 }
 
 async fn serve(orders: Orders, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
@@ -100,7 +100,7 @@
     loop {
         let due = async {
             match hub.alarm.get() {
-                Some(at) => drop(Timer::at(hub.clock.instant(at)).await),
+                Some(at) => sleep_until(hub.clock.instant(at)).await,
                 None => future::pending().await,
             }
             true
@@ -121,13 +121,13 @@
 /// How long until it is tried again.
 const LISTEN_PAUSE: Duration = Duration::from_millis(50);
 
-async fn listen_in_time(at: SocketAddr) -> io::Result<Async<TcpListener>> {
+async fn listen_in_time(at: SocketAddr) -> io::Result<Socket<TcpListener>> {
     let began = Instant::now();
     loop {
         let passing = |error: &io::Error| error.kind() == io::ErrorKind::AddrInUse || is_local_fault(error);
         match listen(at) {
             Err(error) if passing(&error) && began.elapsed() < LISTEN_WITHIN => {
-                Timer::after(LISTEN_PAUSE).await;
+                sleep(LISTEN_PAUSE).await;
             }
             done => return done,
         }
@@ -170,7 +170,7 @@
 async fn next_heard(signals: &mut Signals, retries: &mut std::slice::Iter<'_, u64>) -> Heard {
     let retry = async {
         match retries.next() {
-            Some(millis) => drop(Timer::after(Duration::from_millis(*millis)).await),
+            Some(millis) => sleep(Duration::from_millis(*millis)).await,
             None => future::pending().await,
         }
         Heard::Retry
--- a/crates/mixer/src/program/links.rs
+++ b/crates/mixer/src/program/links.rs
@@ -6,8 +6,7 @@
 use crate::protocol::http::{get, Message, Reader};
 use crate::protocol::{nodes, MOST_BODY};
 use crate::routing::{CallId, Ending, Event, LinkId, Tongue};
-use crate::transport::{dial, is_local_fault, is_short, pump, Inbox, Line, Stop, Stream};
-use async_io::Timer;
+use crate::transport::{dial, is_local_fault, is_short, pump, sleep, Inbox, Line, Stop, Stream};
 use fernglade_admission::{AfterFailure, Shortage};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
@@ -201,12 +200,12 @@
             return Err(error);
         }
         match shortage.failed() {
-            AfterFailure::TryAgain(pause) => drop(Timer::after(duration(pause)).await),
+            AfterFailure::TryAgain(pause) => sleep(duration(pause)).await,
             AfterFailure::MakeRoom => {
                 if is_short(&error) {
                     handle.feed(Event::Short);
                 }
-                Timer::after(ROOM_PAUSE).await;
+                sleep(ROOM_PAUSE).await;
             }
         }
     }
--- a/crates/mixer/src/program/refusals.rs
+++ b/crates/mixer/src/program/refusals.rs
@@ -1,8 +1,7 @@
 //! Those who are turned away with no place: their refusal is written, and their connection kept until they have
 //! fetched it. Closing upon unread bytes would reset the connection, and what was written might be lost with it.
 
-use crate::transport::{uninterrupted, Bell};
-use async_io::Timer;
+use crate::transport::{sleep, uninterrupted, Bell};
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::io::{ErrorKind, Read, Write};
@@ -87,7 +86,7 @@
     /// Returns once all refusals are fetched, or have had their time: the program's end would cut them off.
     pub async fn all_fetched(&self) {
         while !self.told.borrow().is_empty() {
-            Timer::after(TURN).await;
+            sleep(TURN).await;
         }
     }
 
@@ -97,7 +96,7 @@
             if self.told.borrow().is_empty() {
                 self.bell.wait().await;
             }
-            Timer::after(TURN).await;
+            sleep(TURN).await;
             let mut told = self.told.borrow_mut();
             told.retain_mut(|refused| refused.since.elapsed() < FETCHING && refused.advance());
         }
@@ -108,6 +107,6 @@
 pub async fn refuse_alone(stream: TcpStream, refusal: &[u8]) {
     let mut refused = Refused::new(stream, refusal);
     while refused.advance() && refused.since.elapsed() < FETCHING_ALONE {
-        Timer::after(TURN).await;
+        sleep(TURN).await;
     }
 }
--- a/crates/mixer/src/program/signals.rs
+++ b/crates/mixer/src/program/signals.rs
@@ -5,8 +5,7 @@
 //! the flags are looked at, and that is bounded by [`CHECK_EVERY`]. Guards against writes in a handler that fail, which
 //! nobody is told of: a signal that went as bytes was lost with them. Hurts an idle mixer by ten looks a second.
 
-use crate::transport::uninterrupted;
-use async_io::{Async, Timer};
+use crate::transport::{sleep, uninterrupted, Direction, Socket};
 use futures_lite::future;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::{flag, low_level::pipe};
@@ -42,7 +41,7 @@
 /// Signals that have come and were not taken yet.
 pub struct Signals {
     pending: Vec<(Signal, Arc<AtomicBool>)>,
-    wakes: Async<UnixStream>,
+    wakes: Socket<UnixStream>,
     /// An error of the wakes was logged; further ones are not.
     failed: bool,
 }
@@ -59,7 +58,8 @@
             pipe::register(signal.number(), wake.try_clone()?)?;
             pending.push((signal, came));
         }
-        Ok(Self { pending, wakes: Async::new(wakes)?, failed: false })
+        uninterrupted(|| wakes.set_nonblocking(true))?;
+        Ok(Self { pending, wakes: Socket::new(wakes), failed: false })
     }
 
     /// The next signal. One that came several times before it was taken is taken once.
@@ -71,7 +71,7 @@
             if let Err(error) = self.woken().await {
                 self.note(&error);
                 // The wakes may stay readable: waiting for them at once would not wait.
-                Timer::after(CHECK_EVERY).await;
+                sleep(CHECK_EVERY).await;
             }
         }
     }
@@ -79,12 +79,11 @@
     /// Waits for a wake, and no longer than until the flags are to be looked at anyhow.
     async fn woken(&self) -> io::Result<()> {
         let wake = async {
-            self.wakes.readable().await?;
-            let mut socket = self.wakes.get_ref();
-            uninterrupted(|| socket.read(&mut [0; 64])).map(drop)
+            let read = |mut socket: &UnixStream| uninterrupted(|| socket.read(&mut [0; 64]));
+            self.wakes.when_ready(Direction::Read, read).await.map(drop)
         };
         let check = async {
-            Timer::after(CHECK_EVERY).await;
+            sleep(CHECK_EVERY).await;
             Ok(())
         };
         future::or(wake, check).await
--- a/crates/mixer/src/transport/net.rs
+++ b/crates/mixer/src/transport/net.rs
@@ -1,25 +1,28 @@
 //! Sockets: listening, dialling, and which failures are a shortage of our own.
 
+use super::reactor::{sleep, Direction};
+use super::socket::{Socket, Wait};
 use super::uninterrupted;
-use async_io::{Async, Timer};
 use futures_lite::future;
 use rustix::io::Errno;
+use rustix::net::{AddressFamily, SocketFlags, SocketType};
 use std::fs::File;
 use std::future::Future;
 use std::io;
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
-pub type Stream = Async<TcpStream>;
+pub type Stream = Socket<TcpStream>;
 
 /// How many may stand outside; the system's own bound is below it. With the library's 128, a crowd that comes
 /// at once would have its connections, and those of others, dropped and tried again a second later.
 const OUTSIDE: i32 = 4096;
 
-pub fn listen(at: SocketAddr) -> io::Result<Async<TcpListener>> {
-    let listener = Async::<TcpListener>::bind(at)?;
+pub fn listen(at: SocketAddr) -> io::Result<Socket<TcpListener>> {
+    let listener = TcpListener::bind(at)?;
+    uninterrupted(|| listener.set_nonblocking(true))?;
     rustix::net::listen(&listener, OUTSIDE)?;
-    Ok(listener)
+    Ok(Socket::new(listener))
 }
 
 /// A connection that was accepted, not registered with the poller yet: one that is turned away never is.
@@ -76,7 +79,7 @@
 /// What comes of it, if it does so within the time.
 pub async fn in_time<T>(within: Duration, what: impl Future<Output = T>) -> Option<T> {
     let late = async {
-        Timer::after(within).await;
+        sleep(within).await;
         None
     };
     future::or(async { Some(what.await) }, late).await
@@ -84,13 +87,42 @@
 
 /// A connection that is up within the time, or `TimedOut`.
 pub async fn dial(to: SocketAddr, within: Duration) -> io::Result<Stream> {
-    let dialled = in_time(within, Async::<TcpStream>::connect(to)).await;
+    let dialled = in_time(within, connect(to)).await;
     let stream = dialled.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
     // Without it small frames wait for each other, no more.
     let _ = uninterrupted(|| stream.get_ref().set_nodelay(true));
     Ok(stream)
 }
 
+async fn connect(to: SocketAddr) -> io::Result<Stream> {
+    let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
+    let socket = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
+    match rustix::net::connect(&socket, &to) {
+        Ok(()) | Err(Errno::INPROGRESS) => {}
+        Err(error) => return Err(error.into()),
+    }
+    let (stream, mut wait) = (Socket::new(TcpStream::from(socket)), Wait::default());
+    loop {
+        stream.wait(Direction::Write, &mut wait).await;
+        if is_up(stream.get_ref())? {
+            return Ok(stream);
+        }
+    }
+}
+
+/// An error where the connection attempt has failed.
+fn is_up(stream: &TcpStream) -> io::Result<bool> {
+    if let Some(error) = uninterrupted(|| stream.take_error())? {
+        return Err(error);
+    }
+    match uninterrupted(|| stream.peer_addr()) {
+        Ok(_) => Ok(true),
+        Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(false),
+        Err(error) => Err(error),
+    }
+}
+
 /// This machine is out of descriptors or buffers: it says nothing of the other side.
 pub fn is_short(error: &io::Error) -> bool {
     let errno = Errno::from_io_error(error);
--- a/crates/mixer/src/transport/pump.rs
+++ b/crates/mixer/src/transport/pump.rs
@@ -1,7 +1,6 @@
 //! Both directions of one connection, as one task, until either ends.
 
-use super::{in_time, is_short, read, uninterrupted, Bell, Inbox, Outbox, Stream};
-use async_io::Timer;
+use super::{in_time, is_short, read, sleep, uninterrupted, Bell, Inbox, Outbox, Stream};
 use futures_lite::future;
 use std::cell::Cell;
 use std::io::{self, Read};
@@ -165,7 +164,7 @@
     if inbox.is_full() {
         // Nothing more may wait; but the peer's end, behind what it still sends, is to be seen.
         let waste = async {
-            Timer::after(WASTE.1).await;
+            sleep(WASTE.1).await;
             // On the heap: an array would be part of each connection's task, which is moved as it begins.
             let count = read(stream, &mut vec![0; WASTE.0]).await?;
             line.flooded.set(line.flooded.get() || count > 0);
--- a/crates/mixer/src/transport/pump/tests.rs
+++ b/crates/mixer/src/transport/pump/tests.rs
@@ -1,17 +1,23 @@
 use super::{pump, Inbox, Line, Stop};
-use async_io::Async;
+use crate::transport::{Reactor, Stream};
 use futures_lite::future;
 use std::cell::Cell;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::ops::ControlFlow;
 
+fn accepted(listener: &TcpListener) -> Stream {
+    let (stream, _) = listener.accept().unwrap();
+    stream.set_nonblocking(true).unwrap();
+    Stream::new(stream)
+}
+
 /// Whoever closed a line between its bytes' leaving the system and their being read once threw them away.
 #[test]
 fn what_was_taken_from_the_system_is_read_before_anybody_else_runs() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-    let stream = Async::new(listener.accept().unwrap().0).unwrap();
+    let stream = accepted(&listener);
     peer.write_all(&[7; 5]).unwrap();
     let (line, read_so_far, over) = (Line::new(10), Cell::new(0), Cell::new(false));
     let read = |inbox: &mut Inbox| {
@@ -33,7 +39,7 @@
             future::yield_now().await;
         }
     };
-    async_io::block_on(future::zip(reader, other));
+    Reactor::new().unwrap().block_on(future::zip(reader, other));
 }
 
 /// Nothing is owed to it, but its place is wanted back.
@@ -41,7 +47,7 @@
 fn a_peer_that_goes_with_its_answer_half_written_ends_the_line() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-    let stream = Async::new(listener.accept().unwrap().0).unwrap();
+    let stream = accepted(&listener);
     // More than the system takes of either side.
     let (answer, line) = (vec![7; 32 << 20], Line::new(33 << 20));
     assert!(line.outbox.push(1, answer));
@@ -57,7 +63,7 @@
         assert!(!written.get(), "it is half written");
         drop(peer);
     };
-    async_io::block_on(future::zip(writer, reader));
+    Reactor::new().unwrap().block_on(future::zip(writer, reader));
     assert_eq!((written.get(), over.get()), (false, Some(true)));
 }
 
@@ -65,7 +71,7 @@
 fn a_peer_that_never_pauses_lets_others_run() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-    let stream = Async::new(listener.accept().unwrap().0).unwrap();
+    let stream = accepted(&listener);
     peer.write_all(&[7; 60_000]).unwrap();
     drop(peer);
     let (line, reads, turns, over) = (Line::new(10), Cell::new(0), Cell::new(0), Cell::new(false));
@@ -84,6 +90,6 @@
             future::yield_now().await;
         }
     };
-    async_io::block_on(future::zip(reader, other));
+    Reactor::new().unwrap().block_on(future::zip(reader, other));
     assert!(reads.get() > 10 && turns.get() + 1 >= reads.get(), "{reads:?} reads, {turns:?} turns");
 }
--- /dev/null
+++ b/crates/mixer/src/transport/reactor.rs
@@ -0,0 +1,275 @@
+//! Readiness of sockets and the passing of time, for the tasks of one thread.
+//!
+//! A socket is registered once, edge-triggered for both directions, and is not armed anew after an event. So nothing
+//! that can fail stands between an event that the system hands over and the task that waits for it, and an idle socket
+//! costs no call. Guards against `epoll_ctl` failing for a moment (ENOMEM, ENOSPC): with one-shot events, which have to
+//! be armed again, each such failure left a socket that was never looked at again. Hurts nobody who makes a call until
+//! it would block before waiting, as edges demand; `Socket` does.
+
+use rustix::buffer::spare_capacity;
+use rustix::event::{epoll, Timespec};
+use slab::Slab;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::{poll_fn, Future};
+use std::io;
+use std::os::fd::{AsFd, OwnedFd};
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll, Wake, Waker};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Events taken from the system in one call.
+const EVENTS: usize = 256;
+/// The longest single wait for events; nothing depends on it.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+/// How long is slept where the wait for events itself fails: sockets are then looked at by time alone.
+const FAILED_WAIT: Duration = Duration::from_millis(5);
+
+thread_local! {
+    static CURRENT: RefCell<Option<Rc<Reactor>>> = const { RefCell::new(None) };
+}
+
+/// One direction of a socket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    Read,
+    Write,
+}
+
+/// What is known of one direction: an event that nobody has waited for yet, and who waits.
+#[derive(Default)]
+struct Readiness {
+    reported: Cell<bool>,
+    waiting: RefCell<Option<Waker>>,
+}
+
+impl Readiness {
+    fn report(&self) {
+        self.reported.set(true);
+        if let Some(waker) = self.waiting.take() {
+            waker.wake();
+        }
+    }
+
+    fn poll(&self, context: &Context<'_>) -> Poll<()> {
+        if self.reported.replace(false) {
+            return Poll::Ready(());
+        }
+        self.waiting.replace(Some(context.waker().clone()));
+        Poll::Pending
+    }
+}
+
+#[derive(Default)]
+struct Source {
+    read: Readiness,
+    write: Readiness,
+}
+
+impl Source {
+    fn report(&self, flags: epoll::EventFlags) {
+        use epoll::EventFlags as Flags;
+        if flags.intersects(Flags::IN | Flags::RDHUP | Flags::HUP | Flags::ERR | Flags::PRI) {
+            self.read.report();
+        }
+        if flags.intersects(Flags::OUT | Flags::HUP | Flags::ERR) {
+            self.write.report();
+        }
+    }
+}
+
+/// A socket's place with the poller. Whoever holds it takes it back by `Registration::release`, while the socket is open.
+pub struct Registration {
+    reactor: Rc<Reactor>,
+    key: usize,
+    source: Rc<Source>,
+}
+
+impl Registration {
+    /// With the reactor of this thread.
+    pub fn new(socket: &impl AsFd) -> io::Result<Self> {
+        let reactor = Reactor::current();
+        let source = Rc::new(Source::default());
+        let key = reactor.sources.borrow_mut().insert(source.clone());
+        use epoll::EventFlags as Flags;
+        let flags = Flags::IN | Flags::OUT | Flags::RDHUP | Flags::ET;
+        if let Err(error) = epoll::add(&reactor.poller, socket, epoll::EventData::new_u64(key as u64), flags)
+        {
+            reactor.sources.borrow_mut().remove(key);
+            return Err(error.into());
+        }
+        Ok(Self { reactor, key, source })
+    }
+
+    /// Waits for an event of this direction that came after the last one waited for.
+    pub async fn ready(&self, direction: Direction) {
+        let readiness = match direction {
+            Direction::Read => &self.source.read,
+            Direction::Write => &self.source.write,
+        };
+        poll_fn(|context| readiness.poll(context)).await;
+    }
+
+    pub fn release(&self, socket: &impl AsFd) {
+        // Where this fails, the socket's close takes it out.
+        let _ = epoll::delete(&self.reactor.poller, socket);
+        self.reactor.sources.borrow_mut().remove(self.key);
+    }
+}
+
+/// A point in time that a task waits for.
+type TimerKey = (Instant, u64);
+
+pub struct Reactor {
+    poller: OwnedFd,
+    sources: RefCell<Slab<Rc<Source>>>,
+    timers: RefCell<BTreeMap<TimerKey, Waker>>,
+    timers_made: Cell<u64>,
+    events: RefCell<Vec<epoll::Event>>,
+}
+
+impl Reactor {
+    pub fn new() -> io::Result<Self> {
+        Ok(Self {
+            poller: epoll::create(epoll::CreateFlags::CLOEXEC)?,
+            sources: RefCell::default(),
+            timers: RefCell::default(),
+            timers_made: Cell::new(0),
+            events: RefCell::new(Vec::with_capacity(EVENTS)),
+        })
+    }
+
+    fn current() -> Rc<Self> {
+        let current = CURRENT.with_borrow(Clone::clone);
+        current.expect("sockets and timers are waited for within block_on")
+    }
+
+    /// Runs a future, and whatever it drives, on this thread to its end.
+    pub fn block_on<T>(self, future: impl Future<Output = T>) -> T {
+        let reactor = Rc::new(self);
+        CURRENT.set(Some(reactor.clone()));
+        let (woken, mut future) = (Arc::new(Woken(AtomicBool::new(true))), pin!(future));
+        let waker = Waker::from(woken.clone());
+        let mut context = Context::from_waker(&waker);
+        loop {
+            if woken.take() {
+                if let Poll::Ready(done) = future.as_mut().poll(&mut context) {
+                    CURRENT.set(None);
+                    return done;
+                }
+            }
+            // Whoever has work left only has a look at what came meanwhile.
+            let longest = if woken.is_set() { Duration::ZERO } else { reactor.until_next_timer() };
+            reactor.wait(longest);
+            reactor.fire_timers();
+        }
+    }
+
+    fn until_next_timer(&self) -> Duration {
+        let timers = self.timers.borrow();
+        let next =
+            timers.first_key_value().map(|((due, _), _)| due.saturating_duration_since(Instant::now()));
+        next.map_or(LONGEST_WAIT, |span| span.min(LONGEST_WAIT))
+    }
+
+    fn wait(&self, longest: Duration) {
+        let mut events = self.events.borrow_mut();
+        events.clear();
+        // The system counts whole milliseconds: rounded up, so that no timer is looked at early.
+        let millis = longest.as_nanos().div_ceil(1_000_000) as i64;
+        let longest = Timespec { tv_sec: millis / 1000, tv_nsec: millis % 1000 * 1_000_000 };
+        match epoll::wait(&self.poller, spare_capacity(&mut events), Some(&longest)) {
+            Ok(_) => self.dispatch(&events),
+            Err(rustix::io::Errno::INTR) => {}
+            Err(_) => thread::sleep(FAILED_WAIT),
+        }
+    }
+
+    fn dispatch(&self, events: &[epoll::Event]) {
+        let sources = self.sources.borrow();
+        for event in events {
+            // Packed: its fields are copied out.
+            let (data, flags) = (event.data, event.flags);
+            if let Some(source) = sources.get(data.u64() as usize) {
+                source.report(flags);
+            }
+        }
+    }
+
+    fn fire_timers(&self) {
+        let now = Instant::now();
+        let mut timers = self.timers.borrow_mut();
+        while let Some(first) = timers.first_entry().filter(|first| first.key().0 <= now) {
+            first.remove().wake();
+        }
+    }
+
+    fn insert_timer(&self, due: Instant, waker: Waker) -> TimerKey {
+        let number = self.timers_made.get() + 1;
+        self.timers_made.set(number);
+        self.timers.borrow_mut().insert((due, number), waker);
+        (due, number)
+    }
+}
+
+/// Set when the future that `block_on` runs is to be polled. Everything runs on the one thread, so nobody has to be
+/// fetched out of a wait.
+struct Woken(AtomicBool);
+
+impl Woken {
+    fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn take(&self) -> bool {
+        self.0.swap(false, Ordering::Relaxed)
+    }
+}
+
+impl Wake for Woken {
+    fn wake(self: Arc<Self>) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// A timer's place in the reactor, given back when its task waits no more.
+struct TimerEntry {
+    reactor: Rc<Reactor>,
+    key: TimerKey,
+}
+
+impl Drop for TimerEntry {
+    fn drop(&mut self) {
+        self.reactor.timers.borrow_mut().remove(&self.key);
+    }
+}
+
+pub async fn sleep(span: Duration) {
+    sleep_until(Instant::now() + span).await;
+}
+
+pub async fn sleep_until(due: Instant) {
+    let mut entry: Option<TimerEntry> = None;
+    poll_fn(|context| {
+        if Instant::now() >= due {
+            return Poll::Ready(());
+        }
+        let reactor = Reactor::current();
+        match &entry {
+            Some(entry) => drop(reactor.timers.borrow_mut().insert(entry.key, context.waker().clone())),
+            None => {
+                let key = reactor.insert_timer(due, context.waker().clone());
+                entry = Some(TimerEntry { reactor, key });
+            }
+        }
+        Poll::Pending
+    })
+    .await;
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/mixer/src/transport/system.rs
+++ b/crates/mixer/src/transport/system.rs
@@ -1,8 +1,8 @@
 //! Reads and writes that go on through what Linux documents as passing: a signal's interruption, and a shortage of
 //! buffers. Neither says that anything was taken or given, so the call is simply made again.
 
+use super::reactor::{sleep, Direction};
 use super::{is_short, Stream};
-use async_io::Timer;
 use std::io::{self, Read, Write};
 use std::time::Duration;
 
@@ -26,8 +26,8 @@
 /// Bytes that have come, or none where the other side has ended its direction.
 pub async fn read(stream: &Stream, into: &mut [u8]) -> io::Result<usize> {
     loop {
-        match stream.read_with(|mut socket| uninterrupted(|| socket.read(into))).await {
-            Err(error) if is_short(&error) => drop(Timer::after(SHORTAGE_PAUSE).await),
+        match stream.when_ready(Direction::Read, |mut socket| uninterrupted(|| socket.read(into))).await {
+            Err(error) if is_short(&error) => sleep(SHORTAGE_PAUSE).await,
             done => return done,
         }
     }
@@ -39,8 +39,11 @@
     mut write_once: impl FnMut(&mut &std::net::TcpStream) -> io::Result<usize>,
 ) -> io::Result<usize> {
     loop {
-        match stream.write_with(|mut socket| uninterrupted(|| write_once(&mut socket))).await {
-            Err(error) if is_short(&error) => drop(Timer::after(SHORTAGE_PAUSE).await),
+        match stream
+            .when_ready(Direction::Write, |mut socket| uninterrupted(|| write_once(&mut socket)))
+            .await
+        {
+            Err(error) if is_short(&error) => sleep(SHORTAGE_PAUSE).await,
             done => return done,
         }
     }
--- a/crates/mixer/tests/soak.rs
+++ b/crates/mixer/tests/soak.rs
@@ -171,16 +171,17 @@
         ("sendto", "ENOBUFS", "3+40"),
         ("sendto", "EAGAIN", "3+5"),
     ];
-    const MAKING_THEM: [(&str, &str, &str); 5] = [
+    const MAKING_THEM: [(&str, &str, &str); 6] = [
         ("accept4", "ECONNABORTED", "3+5"),
         ("accept4", "ENFILE", "3+5"),
         ("connect", "EADDRNOTAVAIL", "3+7"),
         ("connect", "EINTR", "3+7"),
         ("socket", "ENOBUFS", "9+7"),
+        ("epoll_ctl", "ENOMEM", "3+2"),
     ];
     let fault = |(call, error, when)| SystemFault { call, error, when };
     let turn = (seed / 3) as usize;
-    (seed % 3 == 1).then(|| [fault(ON_CONNECTIONS[turn % 4]), fault(MAKING_THEM[turn % 5])])
+    (seed % 3 == 1).then(|| [fault(ON_CONNECTIONS[turn % 4]), fault(MAKING_THEM[turn % 6])])
 }
 
 fn life(seed: u64) -> Report {
--- a/crates/mixer/tests/system_errors.rs
+++ b/crates/mixer/tests/system_errors.rs
@@ -8,9 +8,12 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 use std::sync::mpsc::Receiver;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use test_case::test_case;
 
+/// A signal has its effect within this, and so has a request that no searcher holds up.
+const PROMPTLY: Duration = Duration::from_millis(300);
+
 fn mixer(name: &str, known: &str, faults: &[SystemFault]) -> Mixer {
     mixer_with(name, known, faults, |orders| orders)
 }
@@ -166,10 +169,7 @@
     assert!(mixer.child.wait().expect("it runs").success());
 }
 
-/// What happens: a client connects, asks, and its connection ends or stays with no answer. Why, as far as is known: a
-/// connection that the poller would not take goes with the call that failed (`Clients::let_in`); and a call by which the
-/// runtime asks for an event anew fails as well (`epoll_ctl` documents ENOMEM for both), after which nobody wakes.
-/// What showed it: with one such call in seven failing, 200 requests were not through in three minutes.
+/// A socket that the poller refuses for a moment, after which nobody was accepted any more.
 #[test]
 fn a_connection_that_the_poller_does_not_take_is_answered() {
     let ((first, _), (second, _)) = (searcher(good), searcher(good));
@@ -185,3 +185,34 @@
     let answered = count.get(&200).unwrap_or(&0) + count.get(&503).unwrap_or(&0);
     assert_eq!(answered, 40, "{count:?}");
 }
+
+/// The same with every second call of the poller's failing, for clients that come anew and such that stay, and for the
+/// signal that ends the mixer.
+#[test_case("ENOMEM", true; "out of memory, kept connections")]
+#[test_case("ENOMEM", false; "out of memory, new connections")]
+#[test_case("ENOSPC", true; "out of watches, kept connections")]
+#[test_case("ENOSPC", false; "out of watches, new connections")]
+fn calls_of_the_poller_that_fail_delay_nobody(error: &'static str, kept: bool) {
+    let ((first, _), (second, _)) = (searcher(good), searcher(good));
+    let faults = [SystemFault { call: "epoll_ctl", error, when: "3+2" }];
+    let mut mixer = mixer(&format!("poller-{error}-{kept}"), &list(&[first, second]), &faults);
+    let mut clients: Vec<Client> = (0..4).map(|_| mixer.client()).collect();
+    let answers = (0..60).map(|number| {
+        let client = &mut clients[number % 4];
+        if !kept {
+            *client = mixer.client();
+        }
+        client.get_mut().set_read_timeout(Some(PROMPTLY)).expect("a time");
+        say(client, scan(&format!("r{number}"), &[0, 1]));
+        status(client)
+    });
+    assert_eq!(statuses(answers), BTreeMap::from([(200, 60)]));
+    drop(clients);
+    mixer.signal("-TERM");
+    let began = Instant::now();
+    while !std::fs::read_to_string(&mixer.files[1]).expect("its log").contains("told to stop") {
+        assert!(began.elapsed() < PROMPTLY, "SIGTERM has no effect");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert!(mixer.child.wait().expect("it runs").success());
+}
