A start that is short of a poller or of sockets for a moment tries again

Callers saw: a mixer that started while the system was out of descriptors or memory ended at once, which counts as a crash. Cause: only listeners were tried for again. The runtime made its poller with expect, and the pair of sockets for signals was made once. Mend: program/startup.rs tries for all that the start needs in one way, for two seconds; nothing is served before, so it may wait as it is. The handlers of signals are set once all that may fail is there. hub.rs loses its own loop for listeners.

--- a/crates/mixer/src/program/hub.rs
+++ b/crates/mixer/src/program/hub.rs
@@ -7,19 +7,18 @@
 use super::identity::Identity;
 use super::links::Links;
 use super::signals::{Signal, Signals};
+use super::startup::made_in_time;
 use super::{watch, Orders};
 use crate::routing::{reduce, Effect, Ending, Event, State};
-use crate::transport::{is_local_fault, listen, sleep, sleep_until, Bell, Reactor, Socket};
+use crate::transport::{listen, sleep, sleep_until, Bell, Reactor};
 use async_executor::LocalExecutor;
 use fernglade::Moment;
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::io;
-use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 struct Hub {
     state: RefCell<State>,
@@ -38,7 +37,7 @@
 /// Serves until it is told to stop and all is done.
 pub fn run(orders: Orders) -> Result<(), String> {
     let executor = Rc::new(LocalExecutor::new());
-    let reactor = Reactor::new().map_err(|error| format!("cannot wait for events: {error}"))?;
+    let reactor = made_in_time(Reactor::new).map_err(|error| format!("cannot wait for events: {error}"))?;
     reactor.block_on(executor.clone().run(serve(orders, executor)))
 }
 
@@ -52,9 +51,10 @@
     let at: Vec<_> = std::iter::once(orders.listen).chain(further).collect();
     let mut listeners = Vec::new();
     for at in &at {
-        listeners.push(listen_in_time(*at).await.map_err(|error| format!("cannot listen on {at}: {error}"))?);
+        let listener = made_in_time(|| listen(*at));
+        listeners.push(listener.map_err(|error| format!("cannot listen on {at}: {error}"))?);
     }
-    let signals = Signals::new().map_err(|error| format!("cannot take signals: {error}"))?;
+    let signals = made_in_time(Signals::new).map_err(|error| format!("cannot take signals: {error}"))?;
     let who = Rc::new(Identity::new(&orders));
     let known = who.clone();
     let hub = Rc::new_cyclic(|hub: &std::rc::Weak<Hub>| {
@@ -116,24 +116,6 @@
     }
 }
 
-/// How long an address that can't be had is tried for: a process before this one lets go of it within moments.
-const LISTEN_WITHIN: Duration = Duration::from_secs(2);
-/// How long until it is tried again.
-const LISTEN_PAUSE: Duration = Duration::from_millis(50);
-
-async fn listen_in_time(at: SocketAddr) -> io::Result<Socket<TcpListener>> {
-    let began = Instant::now();
-    loop {
-        let passing = |error: &io::Error| error.kind() == io::ErrorKind::AddrInUse || is_local_fault(error);
-        match listen(at) {
-            Err(error) if passing(&error) && began.elapsed() < LISTEN_WITHIN => {
-                sleep(LISTEN_PAUSE).await;
-            }
-            done => return done,
-        }
-    }
-}
-
 /// When a configuration that could not be used is read again without a further signal: it may be in the midst of being
 /// replaced, and an old discovery goes 1.5 s after the signal.
 const READ_AGAIN_AFTER_MS: [u64; 4] = [100, 200, 400, 700];
--- a/crates/mixer/src/program/mod.rs
+++ b/crates/mixer/src/program/mod.rs
@@ -13,6 +13,7 @@
 mod orders;
 mod refusals;
 mod signals;
+mod startup;
 mod watch;
 
 pub use hub::run;
--- a/crates/mixer/src/program/signals.rs
+++ b/crates/mixer/src/program/signals.rs
@@ -50,15 +50,17 @@
     /// From now on the signals do not end the process.
     pub fn new() -> io::Result<Self> {
         let (wakes, wake) = UnixStream::pair()?;
+        uninterrupted(|| wakes.set_nonblocking(true))?;
+        // All that may fail for a moment comes before the first handler.
+        let senders: Vec<_> = Signal::ALL.iter().map(|_| wake.try_clone()).collect::<io::Result<_>>()?;
         let mut pending = Vec::new();
-        for signal in Signal::ALL {
+        for (signal, sender) in Signal::ALL.into_iter().zip(senders) {
             let came = Arc::new(AtomicBool::new(false));
             // Handlers run in this order: the flag is set before the wake.
             flag::register(signal.number(), came.clone())?;
-            pipe::register(signal.number(), wake.try_clone()?)?;
+            pipe::register(signal.number(), sender)?;
             pending.push((signal, came));
         }
-        uninterrupted(|| wakes.set_nonblocking(true))?;
         Ok(Self { pending, wakes: Socket::new(wakes), failed: false })
     }
 
--- a/crates/mixer/tests/starts.rs
+++ b/crates/mixer/tests/starts.rs
@@ -73,7 +73,10 @@
     assert_eq!(ask(at, "a"), Some(200));
 }
 
-/// The address is still held by the process before, or the system is short for a moment: it tries again.
+/// The address is still held by the process before, or the system is short of something that the start needs.
+#[test_case("epoll_create1", "EMFILE")]
+#[test_case("epoll_create1", "ENOMEM")]
+#[test_case("socketpair", "ENFILE")]
 #[test_case("socket", "ENFILE")]
 #[test_case("socket", "ENOBUFS")]
 #[test_case("bind", "EADDRINUSE")]
