A connection to a searcher that is late has a further attempt beside it

Cause: a part waited for its one dial for all of limits.dial_timeout. The system sends the first packet again after a second, while an attempt begun anew is up at once in two of three cases. Mend: routing/connection_attempts.rs (pure) says when a dial is late (four times the median of the last 16, within parts of limits.dial_timeout), how many go beside it (two) and in all (half of one for each dial, eight saved, none without a descriptor). The adapter uses the first that is up. Tests: late_connections.rs answered 503 before and 200 in under 250 ms now; the module's own five; any_order checks that nothing is begun beside a link that is up. Not done: the bound with 100 mixers, connections counted for each part.

--- a/crates/mixer/src/program/hub.rs
+++ b/crates/mixer/src/program/hub.rs
@@ -209,6 +209,7 @@
             Effect::Dial { link, to, within, tongue } => {
                 links.dial(handle, link, to, tongue, duration(within));
             }
+            Effect::DialBeside(link) => links.dial_beside(link),
             Effect::Call { link, call, errands } => links.call(handle, link, call, &errands),
             Effect::Withdraw(link, call) => links.withdraw(handle, link, call),
             Effect::GiveUp { link, id } => links.give_up(handle, link, &id),
--- a/crates/mixer/src/program/links.rs
+++ b/crates/mixer/src/program/links.rs
@@ -6,14 +6,18 @@
 use crate::protocol::http::{get, Message, Reader};
 use crate::protocol::{nodes, MOST_BODY};
 use crate::routing::{CallId, Ending, Event, LinkId, Tongue};
-use crate::transport::{dial, is_local_fault, is_short, pump, sleep, Inbox, Line, Stop, Stream};
+use crate::transport::{dial, is_local_fault, is_short, pump, sleep, Bell, Inbox, Line, Stop, Stream};
 use fernglade_admission::{AfterFailure, Shortage};
+use futures_lite::future;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
+use std::future::{poll_fn, Future};
 use std::io;
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 /// What may wait to be written to one searcher: the longest calls of one part, on a link full of them. Usual
@@ -33,6 +37,8 @@
     line: Line,
     tongue: Tongue,
     to: SocketAddr,
+    /// Rung for a further attempt while it is dialled.
+    beside: Bell,
     /// What a node of the query dialect was asked and has not answered, in order.
     asked: RefCell<VecDeque<Question>>,
 }
@@ -52,11 +58,16 @@
         tongue: Tongue,
         within: Duration,
     ) {
-        let near = Rc::new(Near { line: Line::new(MOST_WAITING), tongue, to, asked: RefCell::default() });
+        let line = Line::new(MOST_WAITING);
+        let near = Rc::new(Near { line, tongue, to, beside: Bell::default(), asked: RefCell::default() });
         self.0.borrow_mut().insert(link, near.clone());
         handle.spawn(serve(self.clone(), handle.clone(), link, near, within));
     }
 
+    pub fn dial_beside(&self, link: LinkId) {
+        self.near(link).iter().for_each(|near| near.beside.ring());
+    }
+
     pub fn call(&self, handle: &Handle, link: LinkId, call: CallId, errands: &[Errand]) {
         let Some(near) = self.near(link) else { return };
         match (near.tongue, errands) {
@@ -140,7 +151,7 @@
 }
 
 async fn serve(links: Rc<Links>, handle: Handle, link: LinkId, near: Rc<Near>, within: Duration) {
-    let ending = match dial_with_room(&handle, near.to, within).await {
+    let ending = match dial_racing(&handle, &near, within).await {
         Err(error) => not_up(&error),
         Ok(stream) => {
             handle.feed(Event::LinkUp(link));
@@ -182,6 +193,45 @@
     links.end(&handle, link, ending);
 }
 
+type Attempt<'a> = Pin<Box<dyn Future<Output = io::Result<Stream>> + 'a>>;
+
+/// The first connection that is up, of one attempt and those that are asked for beside it. Where nobody listens they
+/// are over together; any other failure is of one attempt alone.
+async fn dial_racing(handle: &Handle, near: &Near, within: Duration) -> io::Result<Stream> {
+    let began = Instant::now();
+    let mut attempts: Vec<Attempt> = vec![Box::pin(dial_with_room(handle, near.to, within))];
+    loop {
+        let beside = async {
+            near.beside.wait().await;
+            None
+        };
+        let over = async { Some(first_over(&mut attempts).await) };
+        match future::or(over, beside).await {
+            None => attempts.push(Box::pin(dial(near.to, within.saturating_sub(began.elapsed())))),
+            Some(Ok(stream)) => return Ok(stream),
+            Some(Err(error)) => {
+                if attempts.is_empty() || error.kind() == io::ErrorKind::ConnectionRefused {
+                    return Err(error);
+                }
+            }
+        }
+    }
+}
+
+/// Takes out the first attempt that is over.
+async fn first_over(attempts: &mut Vec<Attempt<'_>>) -> io::Result<Stream> {
+    poll_fn(|context| {
+        for at in 0..attempts.len() {
+            if let Poll::Ready(done) = attempts[at].as_mut().poll(context) {
+                drop(attempts.swap_remove(at));
+                return Poll::Ready(done);
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
 /// How often a connection is tried again where this machine has no route: that may be so for good.
 const ROUTE_TRIES: u32 = 4;
 
--- a/crates/mixer/src/routing/any_order.rs
+++ b/crates/mixer/src/routing/any_order.rs
@@ -153,6 +153,9 @@
                     assert!(self.ready[usize::from(to)], "s{to} is to get nothing new");
                     self.wires.insert(link, Wire { to, ..Wire::default() });
                 }
+                Effect::DialBeside(link) => {
+                    assert!(self.wires.get(&link).is_some_and(|wire| !wire.up), "{link:?} is up, or over");
+                }
                 Effect::Call { link, call, errands } => {
                     errands.iter().for_each(|errand| self.may_go(link, &errand.id));
                     let wire = self.wires.get_mut(&link).expect("a link that is there");
--- a/crates/mixer/src/routing/desk.rs
+++ b/crates/mixer/src/routing/desk.rs
@@ -2,6 +2,7 @@
 
 use super::alarms::{Alarm, Alarms};
 use super::clients::{Clients, Doing};
+use super::connection_attempts::Late;
 use super::pool::{Call, Link, Pool, Stand};
 use super::query::{self, Batch, Held};
 use super::roll::Roll;
@@ -187,6 +188,7 @@
     }
 
     pub fn link_up(&mut self, id: LinkId) {
+        self.pool.attempts.up(id, self.now);
         let Some(link) = self.pool.links.get_mut(&id) else { return };
         link.up = true;
         let calls: Vec<CallId> = link.calls.keys().copied().collect();
@@ -337,9 +339,27 @@
         let tongue = self.roll.tongue(to);
         let link = self.pool.open(to, address, tongue)?;
         self.effects.push(Effect::Dial { link, to: address, within: self.dial_within, tongue });
+        let late = self.pool.attempts.begin(link, self.now, self.dial_within);
+        self.alarms.set(late, Alarm::DialLate(link));
         Some(link)
     }
 
+    /// A dial may be late.
+    pub fn dial_late(&mut self, link: LinkId) {
+        if !self.pool.links.contains_key(&link) {
+            return;
+        }
+        let has_room = self.pool.held() < self.pool.most;
+        match self.pool.attempts.late(link, self.now, self.dial_within, has_room) {
+            Late::Nothing => {}
+            Late::Begin(again) => {
+                self.effects.push(Effect::DialBeside(link));
+                self.alarms.set(again, Alarm::DialLate(link));
+            }
+            Late::Wait(again) => self.alarms.set(again, Alarm::DialLate(link)),
+        }
+    }
+
     pub fn reply(&mut self, client: ClientId, reply: Reply, last: bool) {
         if let Some(batch) = self.batches.get_mut(&client) {
             batch.ended(&reply);
--- a/crates/mixer/src/routing/event.rs
+++ b/crates/mixer/src/routing/event.rs
@@ -102,6 +102,8 @@
         within: Span,
         tongue: Tongue,
     },
+    /// Begins a further attempt beside a dial that is not up; the first that is up is the link.
+    DialBeside(LinkId),
     Call {
         link: LinkId,
         call: CallId,
--- a/crates/mixer/src/routing/mod.rs
+++ b/crates/mixer/src/routing/mod.rs
@@ -3,6 +3,7 @@
 
 mod alarms;
 mod clients;
+mod connection_attempts;
 mod desk;
 mod ending;
 mod event;
--- a/crates/mixer/src/routing/pool.rs
+++ b/crates/mixer/src/routing/pool.rs
@@ -1,5 +1,6 @@
 //! The links to searchers, and the calls on them.
 
+use super::connection_attempts::ConnectionAttempts;
 use super::{CallId, LinkId, Tongue};
 use fernglade::decaying_count::DecayingCount;
 use fernglade::mix::mix;
@@ -119,6 +120,7 @@
     pub links: BTreeMap<LinkId, Link>,
     /// Let go, and not over yet: they hold a descriptor until they are.
     pub closing: BTreeSet<LinkId>,
+    pub attempts: ConnectionAttempts,
     /// Calls that a link carries at once, and parts that a call holds.
     pub per_link: usize,
     pub per_call: usize,
@@ -163,13 +165,13 @@
         self.links.iter().filter(move |(_, link)| here(link)).map(|(id, link)| (*id, link))
     }
 
-    /// Descriptors held by links, those that close included.
+    /// Descriptors held by links, those that close and further attempts included.
     pub fn held(&self) -> usize {
-        self.links.len() + self.closing.len()
+        self.links.len() + self.closing.len() + self.attempts.beside()
     }
 
     pub fn is_full(&self) -> bool {
-        self.links.len() >= self.most
+        self.links.len() + self.attempts.beside() >= self.most
     }
 
     /// A further link, where descriptors are left for one.
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -438,6 +438,7 @@
 
     fn link_ended(&mut self, id: LinkId, ending: Ending) {
         self.desk.pool.closing.remove(&id);
+        self.desk.pool.attempts.ended(id);
         let Some(link) = self.desk.pool.links.remove(&id) else { return };
         let idle = ending == Ending::Ended && link.is_idle();
         let ending = if idle { Ending::ClosedIdle } else { ending };
@@ -481,6 +482,7 @@
                     }
                 }
                 Alarm::HalfSaid(link, since) => self.half_said(link, since),
+                Alarm::DialLate(link) => self.desk.dial_late(link),
                 Alarm::ShutDoor => self.desk.effects.push(Effect::ShutDoor),
                 Alarm::LastCall => {
                     self.last_call = true;
