A call that stays half written ends its connection after 0.1 s

Callers saw, by reading (audit): a call half written to a searcher that stops reading was written on whenever it read again, after its client had gone, past the window of a keyed part, and told a time long over. Cause: Outbox::withdraw can't take back what has begun, and nothing bounded how long that may last. Mend: the connection tells when a frame of ours is half written and when its rest has gone; after 0.1 s (what an attempt is left after its client's end) State::still_half_written cuts the link. Its half frame never runs and goes elsewhere, what is out there is as after a reset.

--- a/crates/mixer/src/program/links.rs
+++ b/crates/mixer/src/program/links.rs
@@ -6,7 +6,9 @@
 use crate::protocol::http::{get, Message, Reader};
 use crate::protocol::{nodes, MOST_BODY};
 use crate::routing::{CallId, Ending, Event, LinkId, Tongue};
-use crate::transport::{dial, is_local_fault, is_short, pump, sleep, Bell, Inbox, Line, Stop, Stream};
+use crate::transport::{
+    dial, is_local_fault, is_short, pump, sleep, Bell, Inbox, Line, Stop, Stream, Written,
+};
 use fernglade_admission::{AfterFailure, Shortage};
 use futures_lite::future;
 use std::cell::RefCell;
@@ -173,12 +175,18 @@
                 }
                 flow
             };
-            let gone = |tag| {
-                if tag != UNTOLD {
-                    handle.feed(Event::CallOut(link, CallId(tag)));
+            let mut half = false;
+            let written = |written| {
+                let was_half = std::mem::replace(&mut half, written == Written::Part);
+                if half != was_half {
+                    handle.feed(Event::HalfWritten(link, half));
+                }
+                match written {
+                    Written::Part | Written::Whole(UNTOLD) => {}
+                    Written::Whole(tag) => handle.feed(Event::CallOut(link, CallId(tag))),
                 }
             };
-            match pump(&stream, &near.line, Inbox::new(4 + MOST_FRAME), read, gone).await {
+            match pump(&stream, &near.line, Inbox::new(4 + MOST_FRAME), read, written).await {
                 Stop::Ended => {
                     // An answer of no length is whole now.
                     let flow = reader.ended().map(|message| heard(&handle, link, &near, &message));
--- a/crates/mixer/src/routing/alarms.rs
+++ b/crates/mixer/src/routing/alarms.rs
@@ -19,6 +19,8 @@
     Door(Moment),
     /// A frame that began then is to be whole.
     HalfSaid(LinkId, Moment),
+    /// A frame of ours that began to be written then is to be out.
+    HalfWritten(LinkId, Moment),
     /// A dial that is not up by then is late.
     DialLate(LinkId),
     ShutDoor,
--- a/crates/mixer/src/routing/any_order.rs
+++ b/crates/mixer/src/routing/any_order.rs
@@ -180,6 +180,8 @@
                     if let Some(wire) = self.wires.get_mut(&link) {
                         wire.ends = true;
                         wire.queue.clear();
+                        // What is cut is never written on.
+                        wire.begun.take_if(|_| matches!(effect, Effect::Cut(_)));
                     }
                 }
                 Effect::ShutDoor => self.later.push_back(Event::DoorShut),
@@ -237,6 +239,7 @@
         let Some((call, errands)) = wire.queue.pop_front() else { return };
         errands.iter().for_each(|errand| self.may_go(link, &errand.id));
         self.wires.get_mut(&link).unwrap().begun = Some((call, errands));
+        self.feed(Event::HalfWritten(link, true));
     }
 
     fn finish(&mut self, link: LinkId) {
@@ -247,6 +250,7 @@
             self.part(&errand.id, |part| (part.may_have_run, part.out) = (true, true));
         }
         self.wires.get_mut(&link).unwrap().out.extend(errands.into_iter().map(|errand| errand.id));
+        self.feed(Event::HalfWritten(link, false));
         self.feed(Event::CallOut(link, call));
     }
 
--- a/crates/mixer/src/routing/event.rs
+++ b/crates/mixer/src/routing/event.rs
@@ -62,6 +62,8 @@
     CheckBack(LinkId, bool),
     /// Part of a frame has come, or its rest after that.
     Amid(LinkId, bool),
+    /// Part of a frame of ours was written, or its rest after that.
+    HalfWritten(LinkId, bool),
     LinkEnded(LinkId, Ending),
     Told(News),
     WatchBroke,
--- a/crates/mixer/src/routing/pool.rs
+++ b/crates/mixer/src/routing/pool.rs
@@ -43,6 +43,8 @@
     pub heard: Moment,
     /// Since when a frame has been half said.
     pub amid: Option<Moment>,
+    /// Since when a frame of ours has been half written.
+    pub half_written: Option<Moment>,
     /// A part was waited for over it until its time was up, and nothing came all the while.
     pub mute: bool,
     /// When a call was last put on it, and how often one was of late, but for the first.
@@ -142,7 +144,9 @@
             // Answers come in the order of questions: one at a time, or a slow one would hold up the next.
             Tongue::Dialect => 1,
         };
-        let fits = |link: &Link| link.calls.len() < most(link) && link.amid.is_none() && !link.mute;
+        let fits = |link: &Link| {
+            link.calls.len() < most(link) && link.amid.is_none() && link.half_written.is_none() && !link.mute
+        };
         self.of(to, address).filter(|(_, link)| fits(link)).min_by_key(|(_, link)| !link.up).map(|(id, _)| id)
     }
 
@@ -189,6 +193,7 @@
             checking: false,
             heard: Moment::default(),
             amid: None,
+            half_written: None,
             mute: false,
             used: None,
             reused: DecayingCount::default(),
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -28,6 +28,9 @@
 /// Who stood outside when the door was shut has so long to ask.
 const LAST_CALL: Span = Span::of_millis(50);
 
+/// An attempt may begin 0.1 s after its client has gone, and tell 0.15 s more than is left (the operators' terms).
+const HALF_WRITTEN: Span = Span::of_millis(100);
+
 /// Who has just come is about to ask.
 const SETTLING: Span = Span::of_millis(100);
 
@@ -430,8 +433,30 @@
         }
     }
 
+    /// A frame of ours is half written, or whole after all. Nothing of it can be taken back: its searcher would have it
+    /// later than its client's end, its window or the time that it tells allow.
+    fn half_written(&mut self, id: LinkId, half: bool) {
+        let now = self.desk.now;
+        let Some(link) = self.desk.pool.links.get_mut(&id) else { return };
+        link.half_written = half.then_some(now);
+        if half {
+            self.desk.alarms.set(now + HALF_WRITTEN, Alarm::HalfWritten(id, now));
+        }
+    }
+
+    /// A searcher that reads no more: what is half written there never runs, and what is out there is as after a reset.
+    fn still_half_written(&mut self, id: LinkId, since: Moment) {
+        if self.desk.pool.links.get(&id).is_some_and(|link| link.half_written == Some(since)) {
+            self.cut(id, Ending::Broke);
+        }
+    }
+
     fn end_garbled(&mut self, id: LinkId) {
-        self.link_ended(id, Ending::Garbled);
+        self.cut(id, Ending::Garbled);
+    }
+
+    fn cut(&mut self, id: LinkId, ending: Ending) {
+        self.link_ended(id, ending);
         self.desk.pool.closing.insert(id);
         self.desk.effects.push(Effect::Cut(id));
     }
@@ -482,6 +507,7 @@
                     }
                 }
                 Alarm::HalfSaid(link, since) => self.half_said(link, since),
+                Alarm::HalfWritten(link, since) => self.still_half_written(link, since),
                 Alarm::DialLate(link) => self.desk.dial_late(link),
                 Alarm::ShutDoor => self.desk.effects.push(Effect::ShutDoor),
                 Alarm::LastCall => {
@@ -536,6 +562,7 @@
         Event::PartBack { link, id, end, value } => state.part_back(link, &id, end, value),
         Event::CheckBack(link, there) => state.check_back(link, there),
         Event::Amid(link, amid) => state.amid(link, amid),
+        Event::HalfWritten(link, half) => state.half_written(link, half),
         Event::LinkEnded(link, ending) => state.link_ended(link, ending),
         Event::Told(news) => {
             state.hear(&news);
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -380,6 +380,27 @@
     assert!(matches!(play.replies()[..], [(to, Reply::Answer { whole: true, .. }, _)] if to == client));
 }
 
+/// A searcher that stops reading amid a call: the call goes on later than its client, its window or its time allow.
+#[test]
+fn a_call_that_stays_half_written_is_ended_and_goes_elsewhere() {
+    let mut play = play(2);
+    let client = play.ask(ask("a", "fix", &[0]));
+    let handed = play.connect().remove(0);
+    play.feed(Event::HalfWritten(handed.link, true));
+    play.pass(95);
+    play.feed(Event::HalfWritten(handed.link, false));
+    play.feed(Event::HalfWritten(handed.link, true));
+    play.pass(95);
+    assert!(!play.did(&Effect::Cut(handed.link)), "its rest has gone, and another frame begun");
+    play.pass(10);
+    assert!(play.did(&Effect::Cut(handed.link)));
+    let again = play.send().pop().expect("it has not run");
+    assert!(again.link != handed.link && again.errands[0].id == "a.0", "{again:?}");
+    play.feed(Event::LinkEnded(handed.link, Ending::HungUp));
+    play.back(again.link, "a.0", PartEnd::Honoured, "v");
+    assert!(matches!(play.replies()[..], [(to, Reply::Answer { whole: true, .. }, _)] if to == client));
+}
+
 #[test]
 fn a_part_given_up_before_it_was_written_is_never_written() {
     let mut play = play(1);
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -13,7 +13,7 @@
 pub use bell::Bell;
 pub use inbox::Inbox;
 pub use net::{accept, dial, in_time, is_local_fault, is_short, listen, Accepted, Reserve, Stream};
-pub use outbox::Outbox;
+pub use outbox::{Outbox, Written};
 pub use pump::{linger, pump, take_rest, Line, Stop};
 pub use reactor::{sleep, sleep_until, Direction, Reactor};
 pub use socket::{Socket, Wait};
--- a/crates/mixer/src/transport/outbox.rs
+++ b/crates/mixer/src/transport/outbox.rs
@@ -10,6 +10,15 @@
 /// Says what a frame holds, at the moment when it begins to go.
 type Wording = Box<dyn Fn() -> Vec<u8>>;
 
+/// What a write has brought about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Written {
+    /// Some bytes of a frame have gone, and not its last.
+    Part,
+    /// The last byte of the frame of this tag.
+    Whole(u64),
+}
+
 struct Frame {
     tag: u64,
     bytes: Vec<u8>,
@@ -77,11 +86,15 @@
         self.queue.borrow().frames.is_empty()
     }
 
-    /// Writes until nothing waits, and tells of each frame whose last byte has gone.
-    pub async fn drain(&self, stream: &Stream, mut gone: impl FnMut(u64)) -> io::Result<()> {
+    /// Writes until nothing waits, and tells what each write has brought about.
+    pub async fn drain(&self, stream: &Stream, mut written: impl FnMut(Written)) -> io::Result<()> {
         while !self.is_empty() {
             let count = write_with(stream, |socket| self.write_once(socket)).await?;
-            self.advance(count).into_iter().for_each(&mut gone);
+            match self.advance(count) {
+                Some(tag) => written(Written::Whole(tag)),
+                None if self.queue.borrow().begun > 0 => written(Written::Part),
+                None => {}
+            }
         }
         Ok(())
     }
--- a/crates/mixer/src/transport/pump.rs
+++ b/crates/mixer/src/transport/pump.rs
@@ -1,6 +1,6 @@
 //! Both directions of one connection, as one task, until either ends.
 
-use super::{in_time, is_short, read, sleep, uninterrupted, Bell, Inbox, Outbox, Stream};
+use super::{in_time, is_short, read, sleep, uninterrupted, Bell, Inbox, Outbox, Stream, Written};
 use futures_lite::future;
 use std::cell::Cell;
 use std::io::{self, Read};
@@ -94,14 +94,14 @@
     }
 }
 
-/// Runs a connection. `read` is handed what has come, and uses up what it can; `gone` is told of each frame
-/// whose last byte was written.
+/// Runs a connection. `read` is handed what has come, and uses up what it can; `written` is told what
+/// each write has brought about.
 pub async fn pump<H>(
     stream: &Stream,
     line: &Line,
     mut inbox: Inbox,
     mut read: impl FnMut(&mut Inbox) -> ControlFlow<H>,
-    mut gone: impl FnMut(u64),
+    mut written: impl FnMut(Written),
 ) -> Stop<H> {
     let reader = async {
         loop {
@@ -140,7 +140,7 @@
                 }
                 Ok(())
             };
-            if future::or(line.outbox.drain(stream, &mut gone), enough).await.is_err() {
+            if future::or(line.outbox.drain(stream, &mut written), enough).await.is_err() {
                 return Stop::Broke;
             }
             if line.closing.get() {
--- a/crates/mixer/src/transport/pump/tests.rs
+++ b/crates/mixer/src/transport/pump/tests.rs
@@ -1,4 +1,4 @@
-use super::{pump, Inbox, Line, Stop};
+use super::{pump, Inbox, Line, Stop, Written};
 use crate::transport::{Reactor, Stream};
 use futures_lite::future;
 use std::cell::Cell;
@@ -51,16 +51,20 @@
     // More than the system takes of either side.
     let (answer, line) = (vec![7; 32 << 20], Line::new(33 << 20));
     assert!(line.outbox.push(1, answer));
-    let (written, over) = (Cell::new(false), Cell::new(None));
+    let (half, written, over) = (Cell::new(false), Cell::new(false), Cell::new(None));
     let writer = async {
         let read = |_: &mut Inbox| ControlFlow::<()>::Continue(());
-        let stop = pump(&stream, &line, Inbox::new(4096), read, |_| written.set(true)).await;
+        let note = |what| match what {
+            Written::Part => half.set(true),
+            Written::Whole(_) => written.set(true),
+        };
+        let stop = pump(&stream, &line, Inbox::new(4096), read, note).await;
         over.set(Some(matches!(stop, Stop::Ended | Stop::Broke)));
     };
     let reader = async {
         let mut some = [0; 1000];
         while peer.read(&mut some).unwrap() == 0 {}
-        assert!(!written.get(), "it is half written");
+        assert!(half.get() && !written.get(), "it is half written");
         drop(peer);
     };
     Reactor::new().unwrap().block_on(future::zip(writer, reader));
