Replica table, replica state and open scan leave choice.rs for files of their own

Cause: src/choice.rs held seven types in 963 lines. Change: src/replicas.rs (ReplicaTable, was Roster; ReplicaState, was Seat; Attempt, was Leg) and src/query.rs (an open scan and its parts); choice.rs keeps Mixer and its 478 lines.

--- a/crates/fronts/src/readings.rs
+++ b/crates/fronts/src/readings.rs
@@ -1,7 +1,8 @@
 //! What an instance is told at its start: `path=value` lines, and the parts of the mixer made from them.
 
-use fernglade::choice::{Mixer, Roster};
+use fernglade::choice::Mixer;
 use fernglade::load_shedding::LoadShedding;
+use fernglade::replicas::ReplicaTable;
 use fernglade::retry_budget::RetryBudget;
 use fernglade::slow_start::SlowStart;
 use fernglade::{Effect, Span, TrafficType};
@@ -131,7 +132,7 @@
             multiple: self.number("invariants.fall_multiple", 1.0)?,
             fall: self.span("invariants.fall")?,
         };
-        let roster = Roster::new(
+        let roster = ReplicaTable::new(
             seed,
             self.number("family_info.cells", 1.0)? as u32,
             self.number("family_info.width", 1.0)? as u32,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,9 @@
 pub mod decaying_count;
 pub mod load_shedding;
 pub mod mix;
+mod query;
 mod replica_set;
+pub mod replicas;
 pub mod retry_budget;
 pub mod slow_start;
 
--- a/src/load_shedding.rs
+++ b/src/load_shedding.rs
@@ -1,5 +1,5 @@
 //! What a query is worth where there is no room for all: the less, the less of a replica's limit it may fill
-//! (`Roster::room`).
+//! (`ReplicaTable::room`).
 
 use crate::{Moment, Span};
 use std::collections::BTreeMap;
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -1,7 +1,8 @@
 //! One tiny fake host, and a mixer of three searchers that hold every shard.
 
-use fernglade::choice::{Mixer, Roster};
+use fernglade::choice::Mixer;
 use fernglade::load_shedding::LoadShedding;
+use fernglade::replicas::ReplicaTable;
 use fernglade::retry_budget::RetryBudget;
 use fernglade::slow_start::SlowStart;
 use fernglade::{
@@ -137,7 +138,7 @@
 ) -> Mixer {
     let (cold, fall) = (Span::of_millis(18_000), Span::of_millis(2_000));
     let cold = SlowStart { fleet, from: 0.2, cold, multiple: 2.0, fall };
-    let roster = Roster::new(seed, cells, 1, 1, may_check, cold);
+    let roster = ReplicaTable::new(seed, cells, 1, 1, may_check, cold);
     let door = LoadShedding::new(fleet as usize, &[1000.0], 0.1, true, Span::of_millis(500));
     Mixer::new(types, roster, budget, door, Span::of_millis(5))
 }
