--- a/src/choice.rs
+++ b/src/choice.rs
@@ -365,7 +365,7 @@
         let Some(scan) = self.scans.get(&id) else { return };
         let out = |(at, part): (usize, &Part)| Some((at, part.out?, *part.tried.last()?));
         let (out, ends): (Vec<_>, _) = (scan.parts.iter().enumerate().filter_map(out).collect(), scan.ends);
-        // A sixth: more are out where all stand. A third asked twice as often and helped no more.
+        // More are out where all stand.
         let few = self.beside_queue && scan.killed.is_empty() && out.len() * 6 <= scan.parts.len();
         for (at, (relay, left), to) in out {
             let Some(seat) = self.roster.seats.get_mut(&to) else { continue };
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -40,7 +40,7 @@
 /// The part of the count that comes evenly; the rest may be sent in a burst.
 const EVEN: f64 = 0.75;
 /// The same where mixers are so many that one part is more than the share of each: there the chance keeps the count
-/// of all, and what one may send bounds how far a burst passes it. With 3 too little was sent, with 4 too much.
+/// of all, and what one may send bounds how far a burst passes it.
 const EVEN_OF_MANY: f64 = 3.5;
 /// The part of what the rule adds for chance that is used; the rest is for parts that take more than the mean.
 const CHANCE_USED: f64 = 0.5;
