--- a/tests/slow_start/mod.rs
+++ b/tests/slow_start/mod.rs
@@ -22,6 +22,8 @@
     None,
     /// Half as much is asked for eight seconds, and then five times that.
     Burst,
+    /// Hardly anything is asked up to eight seconds after the start, and then fifty times that.
+    BurstAfterQuiet,
     /// The other copies started at the same moment.
     AllStarted,
     /// No other copy can be reached from six seconds after the start.
@@ -143,7 +145,8 @@
         }
         let rate = match (trouble, since) {
             (Trouble::Burst, Some(0..8_000)) => 0.5,
-            (Trouble::Burst, Some(_)) => 2.5,
+            (Trouble::BurstAfterQuiet, None | Some(0..8_000)) => 0.05,
+            (Trouble::Burst | Trouble::BurstAfterQuiet, Some(_)) => 2.5,
             _ => 1.0,
         };
         let fails = |to: u32| match trouble {
@@ -225,6 +228,26 @@
     assert!(over.is_empty(), "{size} mixers: {over:#?}");
 }
 
+fn keeps_within_what_a_starter_bears_after_a_quiet_time(size: u32, per_second: f64) {
+    for seed in 1..=10 {
+        let (end, count, most) = worst(&arrivals(size, per_second, seed, Trouble::BurstAfterQuiet));
+        assert!(count as f64 <= most, "{size} mixers, seed {seed}: {count} of {most:.1} by {end} ms");
+    }
+}
+
+/// A burst that no mixer could foresee.
+#[test_case(10, 4.5)]
+#[test_case(30, 1.5)]
+fn a_burst_after_a_quiet_time_stays_within_what_a_starter_bears(size: u32, per_second: f64) {
+    keeps_within_what_a_starter_bears_after_a_quiet_time(size, per_second);
+}
+
+/// The same where each of many may send a part of its own before it knows of the burst.
+#[test]
+fn a_burst_after_a_quiet_time_at_a_hundred_mixers() {
+    keeps_within_what_a_starter_bears_after_a_quiet_time(100, 0.45);
+}
+
 /// The pace is used: a searcher that has just started bears its part of the load before it is warm.
 #[test]
 fn a_searcher_that_has_just_started_gets_a_good_part_of_what_it_bears() {
