--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -414,9 +414,13 @@
 /// The configuration of one mixer of a small deployment: the settings that the wire page prints for
 /// `santiago-cues`, with its four cells, sixteen shards and two mixers.
 pub fn config(name: &str, listen: SocketAddr, discovery: SocketAddr, known: &str) -> String {
+    config_with_memory(name, listen, discovery, known, 192)
+}
+
+pub fn config_with_memory(name: &str, listen: SocketAddr, discovery: SocketAddr, known: &str, memory_mb: u64) -> String {
     format!(
         r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-"limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},
+"limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":1024}},"known":{known},
 "settings":{{"discovery":"pushed","kind_of_service":"fanout","layer":0,"ordinal":0,"over_share_worth":0.1,
 "client_habits":{{"marks_retry":true}},
 "family_info":{{"call_cost":0,"cells":4,"complete_from":[1.0,1.0,1.0],"fetch_parts":[0,0,0],"floor_by_class":[1.0,0.5,1.0],
