--- a/review/standins/src/bin/copies.rs
+++ b/review/standins/src/bin/copies.rs
@@ -45,7 +45,8 @@
         let search = start_line.contains("_search");
         let answer = if search {
             let word = word_of(&body);
-            let shard = start_line.split("_shards:").nth(1).and_then(|rest| rest.split('&').next()).unwrap_or("?");
+            let shard =
+                start_line.split("_shards:").nth(1).and_then(|rest| rest.split('&').next()).unwrap_or("?");
             record.line(format!("{name} ran the search for {word} on shard {shard}"));
             thread::sleep(Duration::from_millis(10));
             format!(
@@ -54,7 +55,10 @@
         } else {
             r#"{"name":"n","version":{"distribution":"opensearch","number":"2.11.0"}}"#.to_string()
         };
-        let message = format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{answer}", answer.len());
+        let message = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{answer}",
+            answer.len()
+        );
         let copies = trouble() && search && answers.fetch_add(1, Ordering::SeqCst) % EACH == EACH - 1;
         if copies && nothing_waits(&reader)? {
             record.line(format!("{name} sends its answer with a second copy right behind"));
@@ -104,7 +108,9 @@
         totals.1 += usize::from(!others.is_empty());
         totals.2 += usize::from(of_others);
         if !others.is_empty() {
-            record.line(format!("FOREIGN: the search for {word} is answered with documents for {others:?}: {part}"));
+            record.line(format!(
+                "FOREIGN: the search for {word} is answered with documents for {others:?}: {part}"
+            ));
         }
     }
 }
@@ -135,7 +141,8 @@
             r#"{ dialect: { nodes: ["os-*"], indices: { cues: { searches: "library-search", edits: "cue-fix", customer: "cliente-uno", partial: true } } } }"#,
         )?;
         let config = config("n0", listen, agent.address, &list_json(1, true, &entries));
-        let mixer = start_mixer(folder, "n0", &config, listen, &format!("--operator {}", operator.display()))?;
+        let mixer =
+            start_mixer(folder, "n0", &config, listen, &format!("--operator {}", operator.display()))?;
         let totals: Totals = Arc::default();
         let address = mixer.address;
         // One client sends several searches in a request; the others send one at a time.
@@ -143,9 +150,12 @@
             let (record, totals) = (record.clone(), totals.clone());
             thread::spawn(move || {
                 for request in 0..REQUESTS {
-                    let words: Vec<String> = (0..4).map(|search| format!("word0m{request}x{search}")).collect();
-                    let body: String =
-                        words.iter().map(|word| format!("{{\"index\":\"cues\"}}\n{}\n", query(word))).collect();
+                    let words: Vec<String> =
+                        (0..4).map(|search| format!("word0m{request}x{search}")).collect();
+                    let body: String = words
+                        .iter()
+                        .map(|word| format!("{{\"index\":\"cues\"}}\n{}\n", query(word)))
+                        .collect();
                     ask(address, "POST /_msearch", &words, &body, &record, &totals);
                     thread::sleep(Duration::from_millis(20));
                 }
--- a/review/standins/src/bin/edit.rs
+++ b/review/standins/src/bin/edit.rs
@@ -52,7 +52,9 @@
                 record.line(format!("{name} received and saved the edit of {document}, key {key}: {text}"));
                 thread::sleep(Duration::from_millis(20));
                 if cuts && first && document == CUT {
-                    record.line(format!("the connection to {name} is cut before its answer to the edit of {document}"));
+                    record.line(format!(
+                        "the connection to {name} is cut before its answer to the edit of {document}"
+                    ));
                     return Ok(());
                 }
                 format!(
@@ -61,7 +63,10 @@
             }
             None => r#"{"name":"n","version":{"distribution":"opensearch","number":"2.11.0"}}"#.to_string(),
         };
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n", answer.len());
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+            answer.len()
+        );
         writer.write_all((head + &answer).as_bytes())?;
     }
     Ok(())
@@ -85,7 +90,8 @@
             r#"{ dialect: { nodes: ["os-*"], indices: { cues: { searches: "library-search", edits: "cue-fix", customer: "cliente-uno", partial: true } } } }"#,
         )?;
         let config = config("n0", listen, agent.address, &list_json(1, true, &entries));
-        let mixer = start_mixer(folder, "n0", &config, listen, &format!("--operator {}", operator.display()))?;
+        let mixer =
+            start_mixer(folder, "n0", &config, listen, &format!("--operator {}", operator.display()))?;
         for edit in 0..EDITS {
             let document = format!("cue-{edit}");
             let body = format!(r#"{{"doc":{{"cue":"corrected text {edit}"}}}}"#);
@@ -114,7 +120,8 @@
             resent += usize::from(nodes.len() > 1);
             record.line(format!("the edit of {document} was received whole by {nodes:?}"));
         }
-        record.line(format!("{resent} of {EDITS} edits were sent again after a node had received them whole"));
+        record
+            .line(format!("{resent} of {EDITS} edits were sent again after a node had received them whole"));
         Ok(resent > 0)
     })
 }
--- a/review/standins/src/bin/leave.rs
+++ b/review/standins/src/bin/leave.rs
@@ -27,7 +27,8 @@
         let config = config("n0", listen, agent.address, &list_json(1, true, &entries));
         let mixer = start_mixer(folder, "n0", &config, listen, "")?;
         for scan in 0..20 {
-            let request = scan_request("cue-window", &format!("usual{scan}"), 4.0, None, &[0, 1, 2, 3], "c41e77d0");
+            let request =
+                scan_request("cue-window", &format!("usual{scan}"), 4.0, None, &[0, 1, 2, 3], "c41e77d0");
             call(mixer.address, &request, Duration::from_secs(6))?;
         }
         // Two of twelve: not more than the site's 19%.
--- a/review/standins/src/bin/memory.rs
+++ b/review/standins/src/bin/memory.rs
@@ -30,7 +30,8 @@
         let entries: Vec<Entry> = searchers.iter().map(Entry::of).collect();
         let agent = Agent::start(&entries, record)?;
         let listen = free_address()?;
-        let config = config_with_memory("n0", listen, agent.address, &list_json(1, true, &entries), MEMORY_MB);
+        let config =
+            config_with_memory("n0", listen, agent.address, &list_json(1, true, &entries), MEMORY_MB);
         let mixer = start_mixer(folder, "n0", &config, listen, "")?;
         let (pid, address, running) = (mixer.child.id(), mixer.address, Arc::new(AtomicBool::new(true)));
         // The platform: over its limit a mixer is killed.
@@ -79,7 +80,9 @@
             })
             .collect();
         if !bad.is_empty() {
-            record.line(format!("{BAD_CLIENTS} clients send 65,000 bytes of a body that they announce as 65,536 long"));
+            record.line(format!(
+                "{BAD_CLIENTS} clients send 65,000 bytes of a body that they announce as 65,536 long"
+            ));
         }
         thread::sleep(Duration::from_secs(12));
         bad.into_iter().for_each(|client| drop(client.join()));
--- a/review/standins/src/bin/spoilt.rs
+++ b/review/standins/src/bin/spoilt.rs
@@ -49,7 +49,9 @@
                                     .collect();
                                 results.1 += usize::from(!wrong.is_empty());
                                 record.line(format!("scan {id} is answered 200 {body}"));
-                                wrong.iter().for_each(|wrong| record.line(format!("WRONG in scan {id}: {wrong}")));
+                                wrong
+                                    .iter()
+                                    .for_each(|wrong| record.line(format!("WRONG in scan {id}: {wrong}")));
                             }
                             Ok((status, _, _)) => record.line(format!("scan {id} is answered {status}")),
                             Err(error) => {
@@ -65,7 +67,10 @@
             .collect();
         clients.into_iter().for_each(|client| drop(client.join()));
         let (served, wrong, _) = *results.lock().unwrap();
-        record.line(format!("{served} of {} scans answered 200, {wrong} of them with a value that no searcher made", CLIENTS * SCANS));
+        record.line(format!(
+            "{served} of {} scans answered 200, {wrong} of them with a value that no searcher made",
+            CLIENTS * SCANS
+        ));
         if served == 0 {
             return Err(io::Error::other("no scan was served"));
         }
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -161,7 +161,8 @@
                     let wait = Duration::from_millis(behaviour.service_ms.load(Ordering::SeqCst));
                     let (writer, record, name) = (writer.clone(), record.clone(), name.to_string());
                     let each = behaviour.spoils_each.load(Ordering::SeqCst);
-                    let spoilt = each > 0 && behaviour.answers.fetch_add(1, Ordering::SeqCst) % each == each - 1;
+                    let spoilt =
+                        each > 0 && behaviour.answers.fetch_add(1, Ordering::SeqCst) % each == each - 1;
                     thread::spawn(move || {
                         thread::sleep(wait);
                         let value = value_of(&text, shard);
@@ -224,7 +225,7 @@
 /// The discovery agent of one mixer: the whole list, and long polls for changes.
 pub struct Agent {
     pub address: SocketAddr,
-    list: Arc<Mutex<(u64, BTreeMap<String, (u64, Entry)>)>>,
+    list: List,
     /// Milliseconds by which each answer is late.
     pub delay_ms: Arc<AtomicU64>,
 }
@@ -322,11 +323,24 @@
 }
 
 /// A scan as a client writes it: its parts are shards with equal portions.
-pub fn scan_request(class: &str, id: &str, timeout_s: f64, key: Option<&str>, shards: &[u32], text: &str) -> String {
+pub fn scan_request(
+    class: &str,
+    id: &str,
+    timeout_s: f64,
+    key: Option<&str>,
+    shards: &[u32],
+    text: &str,
+) -> String {
     let portion = 1.0 / shards.len() as f64;
     let ranges: Vec<String> =
         shards.iter().map(|shard| format!(r#"{{"range":{shard},"portion":{portion}}}"#)).collect();
-    scan_with_body(class, id, timeout_s, key, &format!(r#"{{"ranges":[{}],"predicate":"{text}"}}"#, ranges.join(",")))
+    scan_with_body(
+        class,
+        id,
+        timeout_s,
+        key,
+        &format!(r#"{{"ranges":[{}],"predicate":"{text}"}}"#, ranges.join(",")),
+    )
 }
 
 pub fn scan_with_body(class: &str, id: &str, timeout_s: f64, key: Option<&str>, body: &str) -> String {
@@ -339,7 +353,11 @@
 }
 
 /// Sends a request on a new connection and reads the answer.
-pub fn call(mixer: SocketAddr, request: &str, within: Duration) -> io::Result<(u16, BTreeMap<String, String>, String)> {
+pub fn call(
+    mixer: SocketAddr,
+    request: &str,
+    within: Duration,
+) -> io::Result<(u16, BTreeMap<String, String>, String)> {
     let mut stream = TcpStream::connect(mixer)?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(within))?;
@@ -377,13 +395,20 @@
 /// The `run` command of the deploy file.
 fn run_command() -> io::Result<String> {
     let text = std::fs::read_to_string("deploy/balancer.toml")?;
-    let line = text.lines().find_map(|line| line.strip_prefix("run = \"")).and_then(|rest| rest.split('"').next());
+    let line =
+        text.lines().find_map(|line| line.strip_prefix("run = \"")).and_then(|rest| rest.split('"').next());
     line.map(String::from).ok_or_else(|| io::Error::other("no run command in deploy/balancer.toml"))
 }
 
 /// Starts one mixer from the project's root by the deploy file's command, and waits until it is ready.
 /// `folder` is a temporary folder for its files; `arguments` are added to the command.
-pub fn start_mixer(folder: &Path, name: &str, config: &str, at: SocketAddr, arguments: &str) -> io::Result<Mixer> {
+pub fn start_mixer(
+    folder: &Path,
+    name: &str,
+    config: &str,
+    at: SocketAddr,
+    arguments: &str,
+) -> io::Result<Mixer> {
     let file = folder.join(format!("{name}.json"));
     std::fs::write(&file, config)?;
     let log = std::fs::File::create(folder.join(format!("{name}.log")))?;
@@ -417,7 +442,13 @@
     config_with_memory(name, listen, discovery, known, 192)
 }
 
-pub fn config_with_memory(name: &str, listen: SocketAddr, discovery: SocketAddr, known: &str, memory_mb: u64) -> String {
+pub fn config_with_memory(
+    name: &str,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    known: &str,
+    memory_mb: u64,
+) -> String {
     format!(
         r#"{{"name":"{name}","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
 "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":1024}},"known":{known},
