--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,6 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no disruption.
-. "$(dirname "$0")/../case.sh"
-run_case spoilt
+# What was sent, answered and run is written to record.txt in this folder, as it happens.
+here="$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)"
+. "$here/../case.sh"
+run_case spoilt "$here/record.txt"
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -12,35 +12,28 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// What was sent, answered and run, with times since the start of the case; written to `record.txt`.
+/// What was sent, answered and run, with times since the start of the case; written to `record.txt` as it happens.
 #[derive(Clone)]
 pub struct Record {
     start: Instant,
-    lines: Arc<Mutex<Vec<(u64, String)>>>,
+    file: Arc<Mutex<std::fs::File>>,
 }
 
-impl Default for Record {
-    fn default() -> Self {
-        Self { start: Instant::now(), lines: Arc::default() }
+impl Record {
+    fn create(path: &Path) -> io::Result<Self> {
+        let file = Arc::new(Mutex::new(std::fs::File::create(path)?));
+        Ok(Self { start: Instant::now(), file })
     }
-}
 
-impl Record {
     /// Microseconds since the start of the case.
     pub fn now(&self) -> u64 {
         self.start.elapsed().as_micros() as u64
     }
 
     pub fn line(&self, text: impl Into<String>) {
-        let mut lines = self.lines.lock().unwrap();
-        lines.push((self.now(), text.into()));
-    }
-
-    pub fn write(&self, to: &Path) {
-        let lines = self.lines.lock().unwrap();
-        let text: String =
-            lines.iter().map(|(at, line)| format!("{:>10.3} s  {line}\n", *at as f64 / 1e6)).collect();
-        let _ = std::fs::write(to, text);
+        let mut file = self.file.lock().unwrap();
+        let line = format!("{:>10.3} s  {}\n", self.now() as f64 / 1e6, text.into());
+        let _ = file.write_all(line.as_bytes());
     }
 }
 
@@ -476,6 +469,9 @@
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
+/// How long a case may take.
+const LONGEST_RUN: Duration = Duration::from_secs(110);
+
 /// Runs a case: `check` returns whether the rule was broken. Arguments: the temporary folder and the record.
 pub fn run_case(check: impl FnOnce(&Path, &Record) -> io::Result<bool>) -> ! {
     let arguments: Vec<PathBuf> = std::env::args().skip(1).map(PathBuf::from).collect();
@@ -483,23 +479,27 @@
         eprintln!("usage: FOLDER RECORD");
         std::process::exit(2)
     };
-    let record = Record::default();
-    record.line(if trouble() { "with the disruption" } else { "without the disruption" });
-    let code = match check(folder, &record) {
-        Ok(true) => {
-            record.line("the rule was broken");
-            1
-        }
-        Ok(false) => {
-            record.line("the rule held");
-            0
-        }
+    let record = match Record::create(to) {
+        Ok(record) => record,
         Err(error) => {
-            record.line(format!("the case could not run: {error}"));
-            2
+            eprintln!("{}: {error}", to.display());
+            std::process::exit(2)
         }
     };
-    record.write(to);
-    println!("{}", record.lines.lock().unwrap().last().map_or("", |(_, line)| line));
+    let late = record.clone();
+    // The script ends the mixers that are left.
+    thread::spawn(move || {
+        thread::sleep(LONGEST_RUN);
+        late.line("the case could not run: it took too long");
+        std::process::exit(2)
+    });
+    record.line(if trouble() { "with the disruption" } else { "without the disruption" });
+    let (code, result) = match check(folder, &record) {
+        Ok(true) => (1, "the rule was broken".to_string()),
+        Ok(false) => (0, "the rule held".into()),
+        Err(error) => (2, format!("the case could not run: {error}")),
+    };
+    println!("{result}");
+    record.line(result);
     std::process::exit(code)
 }
