--- a/crates/mixer/src/program/links.rs
+++ b/crates/mixer/src/program/links.rs
@@ -1,33 +1,22 @@
 //! Links to searchers: each is dialled, then served by one task until it ends.
 
-use super::clock::duration;
+use super::dialing::{dial_failure, race_dials};
 use super::handle::Handle;
 use crate::protocol::frames::{self, Frame, PartRequest, MAX_FRAME_BYTES};
 use crate::protocol::http::{get_request, Message, Reader};
 use crate::protocol::{nodes, MAX_BODY_BYTES};
 use crate::routing::{CallId, CloseReason, Event, LinkId, SearcherProtocol};
-use crate::transport::{
-    dial, is_local_error, is_resource_shortage, run_connection, sleep, ConnectionControl, Notify, ReadBuffer,
-    Stream, StreamEnd, WriteProgress,
-};
-use fernglade_admission::{FailureResponse, ResourceShortage};
-use futures_lite::future;
+use crate::transport::{run_connection, ConnectionControl, Notify, ReadBuffer, StreamEnd, WriteProgress};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
-use std::future::{poll_fn, Future};
-use std::io;
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::{Duration, Instant};
 
 /// Bound on the bytes queued for one searcher: the longest calls of one part, on a full link. Usual calls
 /// take a hundred bytes; all links together hold no more of them than there are open parts.
 const MAX_QUEUED_BYTES: usize = 2 * 1024 * 1024;
-/// A drained client frees its descriptor within this time.
-const ROOM_RETRY_DELAY: Duration = Duration::from_millis(5);
 /// The tag of frames whose completion is not reported.
 const UNTRACKED: u64 = 0;
 
@@ -180,7 +169,7 @@
     link_handle: Rc<LinkHandle>,
     within: Duration,
 ) {
-    let reason = match race_dials(&handle, &link_handle, within).await {
+    let reason = match race_dials(&handle, link_handle.to, &link_handle.hedged_attempt, within).await {
         Err(error) => dial_failure(&error),
         Ok(stream) => {
             handle.dispatch(Event::LinkConnected(link));
@@ -238,88 +227,6 @@
     links.end(&handle, link, reason);
 }
 
-type Attempt<'a> = Pin<Box<dyn Future<Output = io::Result<Stream>> + 'a>>;
-
-/// Returns the first connection established, of the first attempt and the hedged ones requested meanwhile. A
-/// refused connection ends all attempts; any other failure ends only its own.
-async fn race_dials(handle: &Handle, link_handle: &LinkHandle, within: Duration) -> io::Result<Stream> {
-    let started = Instant::now();
-    let mut attempts: Vec<Attempt> = vec![Box::pin(dial_with_retries(handle, link_handle.to, within))];
-    loop {
-        let hedged_attempt = async {
-            link_handle.hedged_attempt.wait().await;
-            None
-        };
-        let finished = async { Some(first_finished(&mut attempts).await) };
-        match future::or(finished, hedged_attempt).await {
-            None => attempts.push(Box::pin(dial(link_handle.to, within.saturating_sub(started.elapsed())))),
-            Some(Ok(stream)) => return Ok(stream),
-            Some(Err(error)) => {
-                if attempts.is_empty() || error.kind() == io::ErrorKind::ConnectionRefused {
-                    return Err(error);
-                }
-            }
-        }
-    }
-}
-
-/// Waits for the first attempt to finish and removes it.
-async fn first_finished(attempts: &mut Vec<Attempt<'_>>) -> io::Result<Stream> {
-    poll_fn(|context| {
-        for at in 0..attempts.len() {
-            if let Poll::Ready(done) = attempts[at].as_mut().poll(context) {
-                drop(attempts.swap_remove(at));
-                return Poll::Ready(done);
-            }
-        }
-        Poll::Pending
-    })
-    .await
-}
-
-/// Attempts after a missing route on this machine, which may be permanent.
-const MAX_ROUTE_TRIES: u32 = 4;
-
-/// Dials, and retries local failures within the time limit. A lasting shortage of descriptors is reported, so
-/// that an idle client is closed to make room.
-async fn dial_with_retries(handle: &Handle, to: SocketAddr, within: Duration) -> io::Result<Stream> {
-    let (started, mut shortage, mut tries) = (Instant::now(), ResourceShortage::default(), 0);
-    loop {
-        let left = within.saturating_sub(started.elapsed());
-        let error = match dial(to, left).await {
-            Err(error) if is_local_error(&error) && left > ROOM_RETRY_DELAY => error,
-            dialled => return dialled,
-        };
-        tries += 1;
-        if is_unroutable(&error) && tries > MAX_ROUTE_TRIES {
-            return Err(error);
-        }
-        match shortage.record_failure() {
-            FailureResponse::Retry(pause) => sleep(duration(pause)).await,
-            FailureResponse::FreeDescriptors => {
-                if is_resource_shortage(&error) {
-                    handle.dispatch(Event::OutOfResources);
-                }
-                sleep(ROOM_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-fn is_unroutable(error: &io::Error) -> bool {
-    matches!(error.kind(), io::ErrorKind::NetworkUnreachable | io::ErrorKind::NetworkDown)
-}
-
-fn dial_failure(error: &io::Error) -> CloseReason {
-    match error.kind() {
-        io::ErrorKind::ConnectionRefused => CloseReason::ConnectionRefused,
-        io::ErrorKind::TimedOut => CloseReason::ConnectTimedOut,
-        _ if is_unroutable(error) => CloseReason::Unreachable,
-        _ if is_local_error(error) => CloseReason::OutOfResources,
-        _ => CloseReason::Unreachable,
-    }
-}
-
 fn read_frames(handle: &Handle, link: LinkId, buffer: &mut ReadBuffer) -> ControlFlow<CloseReason> {
     loop {
         let frame = match frames::decode(buffer.unread()) {
--- a/crates/mixer/src/program/mod.rs
+++ b/crates/mixer/src/program/mod.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod clock;
 mod config;
+mod dialing;
 mod handle;
 mod hub;
 mod identity;
