Use an answer only once the bytes behind it are known to begin another frame

Cause: links.rs, read_frames: it reported each frame before it decoded what stood behind it in the same buffer, and a frame with a wrong length looks whole. Change: FrameReader (protocol, pure) releases a frame when the head of another one stands behind it, or when all that was received is read and nothing does; before unreadable bytes it is dropped and its part fails as may-have-run. run_connection reads until the kernel has no more or the buffer is full and says which; a short read tells so without a further call. Heads are checked as they come. Why it works: whatever of the answer had been received by then has been looked at. Left: a rest that comes in a later read.

--- a/crates/mixer/src/program/links.rs
+++ b/crates/mixer/src/program/links.rs
@@ -2,6 +2,7 @@
 
 use super::dialing::{dial_failure, race_dials};
 use super::handle::Handle;
+use crate::protocol::frame_reader::FrameReader;
 use crate::protocol::frames::{self, Frame, PartRequest, MAX_FRAME_BYTES};
 use crate::protocol::http::{get_request, Message, Reader};
 use crate::protocol::{nodes, MAX_BODY_BYTES};
@@ -174,10 +175,11 @@
         Ok(stream) => {
             handle.dispatch(Event::LinkConnected(link));
             let (mut mid_response, mut reader) = (false, Reader::for_responses(MAX_BODY_BYTES));
+            let mut frame_reader = FrameReader::default();
             let on_read = |buffer: &mut ReadBuffer| {
                 let (flow, now_mid_response) = match link_handle.protocol {
                     SearcherProtocol::Frames => {
-                        let flow = read_frames(&handle, link, buffer);
+                        let flow = read_frames(&handle, link, &mut frame_reader, buffer);
                         (flow, !buffer.unread().is_empty())
                     }
                     SearcherProtocol::QueryApi => {
@@ -227,31 +229,40 @@
     links.end(&handle, link, reason);
 }
 
-fn read_frames(handle: &Handle, link: LinkId, buffer: &mut ReadBuffer) -> ControlFlow<CloseReason> {
-    loop {
-        let frame = match frames::decode(buffer.unread()) {
-            Ok(Some((frame, count))) => {
-                buffer.consume(count);
-                frame
-            }
-            Ok(None) => return ControlFlow::Continue(()),
-            Err(error) => {
-                log::debug!("cannot parse a searcher's frame: {error}");
-                return ControlFlow::Break(CloseReason::InvalidData);
-            }
-        };
-        match frame {
-            Frame::Part { id, outcome, value } => {
-                handle.dispatch(Event::PartAnswered { link, id, outcome, value })
-            }
-            Frame::ProbeResult(there) => handle.dispatch(Event::HealthProbeAnswered(link, there)),
-            Frame::LoadReport => {}
-            Frame::ProtocolError(reason) => {
-                log::warn!("a searcher rejected a frame: {reason:?}");
-                return ControlFlow::Break(CloseReason::RejectedByPeer);
-            }
+/// Reads the frames of a searcher. Frames behind which something unreadable stands are not reported.
+fn read_frames(
+    handle: &Handle,
+    link: LinkId,
+    reader: &mut FrameReader,
+    buffer: &mut ReadBuffer,
+) -> ControlFlow<CloseReason> {
+    let batch = reader.read(buffer.unread(), buffer.holds_all_received());
+    buffer.consume(batch.consumed);
+    for frame in batch.frames {
+        handle_frame(handle, link, frame)?;
+    }
+    match batch.error {
+        None => ControlFlow::Continue(()),
+        Some(error) => {
+            log::debug!("cannot parse a searcher's frame: {error}");
+            ControlFlow::Break(CloseReason::InvalidData)
+        }
+    }
+}
+
+fn handle_frame(handle: &Handle, link: LinkId, frame: Frame) -> ControlFlow<CloseReason> {
+    match frame {
+        Frame::Part { id, outcome, value } => {
+            handle.dispatch(Event::PartAnswered { link, id, outcome, value })
+        }
+        Frame::ProbeResult(healthy) => handle.dispatch(Event::HealthProbeAnswered(link, healthy)),
+        Frame::LoadReport => {}
+        Frame::ProtocolError(reason) => {
+            log::warn!("a searcher rejected a frame: {reason:?}");
+            return ControlFlow::Break(CloseReason::RejectedByPeer);
         }
     }
+    ControlFlow::Continue(())
 }
 
 /// Reads responses of a query API node; each belongs to the oldest unanswered request.
--- a/crates/mixer/src/protocol/frames.rs
+++ b/crates/mixer/src/protocol/frames.rs
@@ -8,6 +8,11 @@
 /// Estimated size of a part's line in a call without its id and idempotency key: shard, timeout and text
 /// length.
 const PART_LINE_BYTES: usize = 48;
+const LENGTH_BYTES: usize = 4;
+/// The head of a frame: its length and its type.
+pub const HEAD_BYTES: usize = LENGTH_BYTES + 1;
+/// Largest length of a health probe's result.
+const MAX_PROBE_RESULT_BYTES: usize = 1 + b"good".len();
 /// Largest length that a frame may announce.
 pub const MAX_FRAME_BYTES: usize = 1 + MAX_LINE_BYTES + MAX_BODY_BYTES;
 
@@ -59,13 +64,30 @@
     pub is_search: bool,
 }
 
+/// Checks a frame's head, as far as it has arrived.
+fn check_head(bytes: &[u8]) -> Result<(), &'static str> {
+    let mut least_length = [0; LENGTH_BYTES];
+    for (known, byte) in least_length.iter_mut().zip(bytes) {
+        *known = *byte;
+    }
+    let least_length = u32::from_be_bytes(least_length) as usize;
+    let is_empty = bytes.len() >= LENGTH_BYTES && least_length == 0;
+    if is_empty || least_length > MAX_FRAME_BYTES {
+        return Err("frame length out of bounds");
+    }
+    match bytes.get(HEAD_BYTES - 1) {
+        Some(b'o') if least_length > MAX_PROBE_RESULT_BYTES => Err("unknown health probe result"),
+        None | Some(b'q' | b'o' | b'p' | b'r') => Ok(()),
+        Some(_) => Err("unknown frame type"),
+    }
+}
+
 /// Decodes the first frame and returns it with the number of bytes consumed, or `None` if it is incomplete.
+/// An error shows as soon as the head does, in whatever pieces that arrives.
 pub fn decode(bytes: &[u8]) -> Result<Option<(Frame, usize)>, &'static str> {
-    let Some((length, rest)) = bytes.split_first_chunk::<4>() else { return Ok(None) };
+    check_head(bytes)?;
+    let Some((length, rest)) = bytes.split_first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
     let length = u32::from_be_bytes(*length) as usize;
-    if length == 0 || length > MAX_FRAME_BYTES {
-        return Err("frame length out of bounds");
-    }
     let Some((kind, body)) = rest.get(..length).and_then(<[u8]>::split_first) else { return Ok(None) };
     let frame = match kind {
         b'q' => decode_part(body)?,
@@ -78,7 +100,7 @@
         b'r' => Frame::ProtocolError(String::from_utf8_lossy(body).chars().take(200).collect()),
         _ => return Err("unknown frame type"),
     };
-    Ok(Some((frame, 4 + length)))
+    Ok(Some((frame, LENGTH_BYTES + length)))
 }
 
 /// Decodes a part's result: a line with id, outcome, score and load report, followed by the value. The load
--- a/crates/mixer/src/protocol/mod.rs
+++ b/crates/mixer/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 //! Performs no I/O and reads no clock. Words of the wire formats are used in this module only.
 
 pub mod discovery;
+pub mod frame_reader;
 pub mod frames;
 pub mod http;
 pub mod json;
--- a/crates/mixer/src/transport/connection.rs
+++ b/crates/mixer/src/transport/connection.rs
@@ -1,8 +1,8 @@
 //! Runs both directions of a connection in one task until either ends.
 
 use super::{
-    is_resource_shortage, read, retry_interrupted, sleep, timeout, Notify, ReadBuffer, Stream, WriteProgress,
-    WriteQueue,
+    is_resource_shortage, read, read_now, retry_interrupted, sleep, timeout, Notify, ReadBuffer, Stream,
+    WriteProgress, WriteQueue,
 };
 use futures_lite::future;
 use std::cell::Cell;
@@ -102,8 +102,8 @@
     }
 }
 
-/// Runs a connection. `on_read` is given the buffered input and consumes what it can; `on_progress` is called
-/// with the progress of each write.
+/// Runs a connection. `on_read` is given the buffered input, which is all that has been received as far as it
+/// fits, and consumes what it can; `on_progress` is called with the progress of each write.
 pub async fn run_connection<H>(
     stream: &Stream,
     control: &ConnectionControl,
@@ -112,19 +112,19 @@
     mut on_progress: impl FnMut(WriteProgress),
 ) -> StreamEnd<H> {
     let reader = async {
+        let mut end = None;
         loop {
             // Bytes received from the kernel are handled before any other task runs: a task that closed the
             // connection in between would drop input that the peer may rightly assume was accepted.
             if let ControlFlow::Break(value) = on_read(&mut buffer) {
                 return StreamEnd::Stopped(value);
             }
+            if let Some(end) = end {
+                return end;
+            }
             // A peer that sends without a pause must not starve other tasks.
             future::yield_now().await;
-            match next_bytes(stream, control, &mut buffer).await {
-                Ok(Some(0)) => return StreamEnd::PeerClosed,
-                Ok(_) => {}
-                Err(_) => return StreamEnd::Failed,
-            }
+            end = read_until_drained(stream, control, &mut buffer).await;
         }
     };
     let writer = async {
@@ -161,18 +161,78 @@
     future::or(reader, writer).await
 }
 
-/// Returns the number of bytes read, or `None` if only a recheck was requested.
+/// Waits for input, and reads until the buffer is full or the kernel has no more. Returns how the connection
+/// ended, if it did; what was received before the end is in the buffer.
+///
+/// Whoever examines the buffer can thus rely on seeing what stands behind a message, as far as it has come.
+async fn read_until_drained<H>(
+    stream: &Stream,
+    control: &ConnectionControl,
+    buffer: &mut ReadBuffer,
+) -> Option<StreamEnd<H>> {
+    let must_wait = buffer.holds_all_received() || buffer.is_full() || control.reading_stopped.get();
+    let mut received = match must_wait {
+        true => next_bytes(stream, control, buffer).await,
+        false => read_available(stream, buffer).await,
+    };
+    loop {
+        match received {
+            Ok(Received::End) => return Some(StreamEnd::PeerClosed),
+            Err(_) => {
+                buffer.set_holds_all_received(true);
+                return Some(StreamEnd::Failed);
+            }
+            Ok(Received::Nothing) => return None,
+            Ok(Received::Bytes) if buffer.holds_all_received() || buffer.is_full() => return None,
+            Ok(Received::Bytes) => received = read_available(stream, buffer).await,
+        }
+    }
+}
+
+/// The result of one read.
+enum Received {
+    Bytes,
+    /// Only a recheck was requested, input was discarded, or no input was available.
+    Nothing,
+    /// The peer has closed its direction.
+    End,
+}
+
+/// Commits the bytes of one read. A read that does not fill its space has emptied the kernel's buffer.
+fn commit(buffer: &mut ReadBuffer, count: usize) -> Received {
+    let filled_its_space = count == buffer.space().len();
+    buffer.set_holds_all_received(!filled_its_space);
+    buffer.commit(count);
+    if count == 0 {
+        Received::End
+    } else {
+        Received::Bytes
+    }
+}
+
+/// Reads what is available, without waiting for more.
+async fn read_available(stream: &Stream, buffer: &mut ReadBuffer) -> io::Result<Received> {
+    match read_now(stream, buffer.space()).await {
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+            buffer.set_holds_all_received(true);
+            Ok(Received::Nothing)
+        }
+        result => Ok(commit(buffer, result?)),
+    }
+}
+
+/// Waits for the next bytes, or until a recheck is requested.
 async fn next_bytes(
     stream: &Stream,
     control: &ConnectionControl,
     buffer: &mut ReadBuffer,
-) -> io::Result<Option<usize>> {
+) -> io::Result<Received> {
     let recheck = async {
         control.recheck.wait().await;
         Ok(None)
     };
     if control.reading_stopped.get() {
-        return recheck.await;
+        return recheck.await.map(|_: Option<usize>| Received::Nothing);
     }
     if buffer.is_full() {
         // The buffer is full, but the end of the stream behind the excess input must still be detected.
@@ -184,12 +244,12 @@
             control.overflowed.set(control.overflowed.get() || count > 0);
             Ok(Some(0).filter(|_| count == 0))
         };
-        return future::or(recheck, discard).await;
+        let end = future::or(recheck, discard).await?;
+        return Ok(end.map_or(Received::Nothing, |_| Received::End));
     }
     // Available input is read first, so that a requested recheck sees it.
     let count = future::or(async { read(stream, buffer.space()).await.map(Some) }, recheck).await?;
-    buffer.commit(count.unwrap_or(0));
-    Ok(count)
+    Ok(count.map_or(Received::Nothing, |count| commit(buffer, count)))
 }
 
 /// Limit on the reads made in search of the end of the stream when more input arrives than the buffer holds.
--- a/crates/mixer/src/transport/connection/tests.rs
+++ b/crates/mixer/src/transport/connection/tests.rs
@@ -102,3 +102,31 @@
     Reactor::new().unwrap().block_on(future::zip(reader, other));
     assert!(reads.get() > 10 && turns.get() + 1 >= reads.get(), "{reads:?} reads, {turns:?} turns");
 }
+
+/// What one call of the reader saw: the unread bytes, and whether they were all that had been received.
+fn reads_of(sent: usize, capacity: usize) -> Vec<(usize, bool)> {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let stream = accepted(&listener);
+    peer.write_all(&vec![7; sent]).unwrap();
+    drop(peer);
+    let (control, mut reads) = (ConnectionControl::new(10), Vec::new());
+    let read = |buffer: &mut ReadBuffer| {
+        reads.push((buffer.unread().len(), buffer.holds_all_received()));
+        buffer.consume(buffer.unread().len());
+        ControlFlow::<()>::Continue(())
+    };
+    let connection = run_connection(&stream, &control, ReadBuffer::new(capacity), read, |_| ());
+    Reactor::new().unwrap().block_on(connection);
+    assert_eq!((reads.remove(0), reads.pop()), ((0, true), Some((0, true))), "at the start and at the end");
+    reads
+}
+
+/// Guards against handing out a message while bytes behind it, already received, have not been looked at.
+#[test]
+fn everything_received_is_read_before_it_is_handled() {
+    assert_eq!(reads_of(10_000, 16_384), [(10_000, true)]);
+    // What does not fit is announced, also where nothing more turns out to be there.
+    assert_eq!(reads_of(10_000, 4_096), [(4_096, false), (4_096, false), (1_808, true)]);
+    assert_eq!(reads_of(8_192, 4_096), [(4_096, false), (4_096, false)]);
+}
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -18,5 +18,5 @@
 pub use reactor::{sleep, sleep_until, Direction, Reactor};
 pub use read_buffer::ReadBuffer;
 pub use socket::{RecheckBackoff, Socket};
-pub use system::{read, retry_interrupted, write_all};
+pub use system::{read, read_now, retry_interrupted, write_all};
 pub use write_queue::{WriteProgress, WriteQueue};
--- a/crates/mixer/src/transport/read_buffer.rs
+++ b/crates/mixer/src/transport/read_buffer.rs
@@ -13,12 +13,13 @@
     start: usize,
     end: usize,
     capacity: usize,
+    holds_all_received: bool,
 }
 
 impl ReadBuffer {
     /// An empty buffer that grows to at most `capacity` bytes.
     pub fn new(capacity: usize) -> Self {
-        Self { bytes: Vec::new(), start: 0, end: 0, capacity }
+        Self { bytes: Vec::new(), start: 0, end: 0, capacity, holds_all_received: true }
     }
 
     /// The bytes received and not consumed yet.
@@ -55,6 +56,16 @@
         &mut self.bytes[self.end..]
     }
 
+    /// Whether everything that the kernel had received by the last read has been read.
+    pub fn holds_all_received(&self) -> bool {
+        self.holds_all_received
+    }
+
+    /// Records whether everything that the kernel has received has been read.
+    pub fn set_holds_all_received(&mut self, holds: bool) {
+        self.holds_all_received = holds;
+    }
+
     /// Marks `count` bytes of `space` as received.
     pub fn commit(&mut self, count: usize) {
         self.end = (self.end + count).min(self.bytes.len());
--- a/crates/mixer/src/transport/system.rs
+++ b/crates/mixer/src/transport/system.rs
@@ -33,6 +33,16 @@
     }
 }
 
+/// Reads available bytes, or fails with `WouldBlock` if there are none.
+pub async fn read_now(stream: &Stream, into: &mut [u8]) -> io::Result<usize> {
+    loop {
+        match retry_interrupted(|| stream.get_ref().read(into)) {
+            Err(error) if is_resource_shortage(&error) => sleep(SHORTAGE_RETRY_DELAY).await,
+            done => return done,
+        }
+    }
+}
+
 /// Writes with `write_once`, which is given the socket and may be called several times before it writes
 /// anything.
 pub async fn write_with(
--- a/crates/standins/src/searcher.rs
+++ b/crates/standins/src/searcher.rs
@@ -30,6 +30,29 @@
     answer_parts(letter, rest)
 }
 
+/// Answers each call with a frame whose length is 4 bytes too small.
+pub fn answer_with_short_length(letter: u8, rest: &str) -> Option<Vec<u8>> {
+    let mut answer = answer_parts(letter, rest)?;
+    if let Some(length) = answer.first_chunk_mut::<4>() {
+        *length = (u32::from_be_bytes(*length) - 4).to_be_bytes();
+    }
+    Some(answer)
+}
+
+/// Answers each call with success, and sends bytes right behind it that are no frame.
+pub fn answer_with_noise(letter: u8, rest: &str) -> Option<Vec<u8>> {
+    let mut answer = answer_parts(letter, rest)?;
+    if !answer.is_empty() {
+        answer.extend_from_slice(b"noise");
+    }
+    Some(answer)
+}
+
+/// Answers each call with success, twice.
+pub fn answer_twice(letter: u8, rest: &str) -> Option<Vec<u8>> {
+    Some(answer_parts(letter, rest)?.repeat(2))
+}
+
 /// Answers nothing.
 pub fn ignore_frames(_: u8, _: &str) -> Option<Vec<u8>> {
     Some(Vec::new())
