Take an answer without an id only for a request that was written whole

Cause: Links::call entered a request among the unanswered ones when it was queued, and read_responses reported answers from within the loop over the buffer. An answer that ends a search opens the next one in the same event; its part was queued on the link just freed, and the loop took the copy for its answer. part_answered did not look at the state of the call either. Change: PendingRequests keeps queued requests apart from those written whole. ResponseReader gives out answers only when all that was received is read and no more came than was requested; else none is used, as the first may be a late copy of an earlier one. What has arrived is read before a request is written (read_before_writing). part_answered ends a link that answers a call not written whole. The reading of answers lies in program/answers.rs. Related paths: frames have ids, but a call that was only queued could be answered as well: ended by the same check. A health probe's result over frames was taken without a probe written: passed over now. The version is asked for ahead of the first part on the same connection: counted with it. Tests: two of dialect.rs failed before (documents of another search; an edit confirmed by an answer with a copy behind it). Three tests of routing answered calls that were never written, which no searcher can do; they report the last byte first now, with the same checks.

--- a/crates/mixer/src/program/links.rs
+++ b/crates/mixer/src/program/links.rs
@@ -1,25 +1,26 @@
 //! Links to searchers: each is dialled, then served by one task until it ends.
 
+use super::answers::AnswerReader;
 use super::dialing::{dial_failure, race_dials};
 use super::handle::Handle;
-use crate::protocol::frame_reader::FrameReader;
-use crate::protocol::frames::{self, Frame, PartRequest, MAX_FRAME_BYTES};
-use crate::protocol::http::{get_request, Message, Reader};
-use crate::protocol::{nodes, MAX_BODY_BYTES};
+use crate::protocol::frames::{self, PartRequest, MAX_FRAME_BYTES};
+use crate::protocol::http::get_request;
+use crate::protocol::nodes;
+use crate::protocol::pending_requests::{PendingRequest, PendingRequests};
 use crate::routing::{CallId, CloseReason, Event, LinkId, SearcherProtocol};
 use crate::transport::{run_connection, ConnectionControl, Notify, ReadBuffer, StreamEnd, WriteProgress};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Bound on the bytes queued for one searcher: the longest calls of one part, on a full link. Usual calls
 /// take a hundred bytes; all links together hold no more of them than there are open parts.
 const MAX_QUEUED_BYTES: usize = 2 * 1024 * 1024;
-/// The tag of frames whose completion is not reported.
-const UNTRACKED: u64 = 0;
+/// The tags of frames that are not calls; calls are numbered from 1.
+const CANCELLATION: u64 = 0;
+const NO_CALL: u64 = u64::MAX;
 
 /// The local ends of all links to searchers.
 #[derive(Default)]
@@ -32,14 +33,31 @@
     to: SocketAddr,
     /// Notified to start a hedged attempt while the link is being dialled.
     hedged_attempt: Notify,
-    /// Requests to a node of the query API that are not answered yet, in order.
-    unanswered: RefCell<VecDeque<PendingRequest>>,
+    /// Requests whose answers carry no id: all requests to a node of the query API, and health probes.
+    pending: RefCell<PendingRequests>,
 }
 
-enum PendingRequest {
-    Part(String),
-    HealthProbe,
-    Version,
+impl LinkHandle {
+    /// Queues a request whose answer carries no id. What has already arrived is read before it is written, if
+    /// nothing else is pending, as it can't be its answer.
+    fn write_request(&self, tag: u64, request: PendingRequest, frame: Vec<u8>) -> bool {
+        if self.pending.borrow().is_empty() {
+            self.control.read_before_writing();
+        }
+        self.pending.borrow_mut().queued(request);
+        self.control.write_queue.push(tag, frame)
+    }
+
+    /// Records that the last byte of a frame was written.
+    fn frame_written(&self, handle: &Handle, link: LinkId, tag: u64) {
+        let carries_no_id = tag == NO_CALL || self.protocol == SearcherProtocol::QueryApi;
+        if carries_no_id {
+            self.pending.borrow_mut().written();
+        }
+        if tag != NO_CALL && tag != CANCELLATION {
+            handle.dispatch(Event::CallWritten(link, CallId(tag)));
+        }
+    }
 }
 
 impl Links {
@@ -58,7 +76,7 @@
             protocol,
             to,
             hedged_attempt: Notify::default(),
-            unanswered: RefCell::default(),
+            pending: RefCell::default(),
         });
         self.0.borrow_mut().insert(link, link_handle.clone());
         handle.spawn(serve(self.clone(), handle.clone(), link, link_handle, within));
@@ -77,14 +95,18 @@
                 let (requests, size, queued_at) =
                     (requests.to_vec(), frames::estimated_call_size(requests), Instant::now());
                 let encode = move || frames::encode_call(&requests, queued_at.elapsed().as_millis() as u64);
-                if !link_handle.control.write_queue.push_deferred(call.0, size, encode) {
-                    self.end(handle, link, CloseReason::WriteBacklogFull);
-                }
+                let fitted = link_handle.control.write_queue.push_deferred(call.0, size, encode);
+                self.end_if_full(handle, link, fitted);
             }
             (SearcherProtocol::QueryApi, [request]) => {
                 if let Some(encoded) = nodes::encode_part_request(request, &link_handle.to.to_string()) {
-                    link_handle.unanswered.borrow_mut().push_back(PendingRequest::Part(request.id.clone()));
-                    self.write(handle, link, call.0, encoded);
+                    self.write_request(
+                        handle,
+                        link,
+                        call.0,
+                        PendingRequest::Part(request.id.clone()),
+                        encoded,
+                    );
                 }
             }
             // Every part of the call was cancelled before it was handed over.
@@ -94,37 +116,44 @@
 
     /// Cancels a part: notifies the searcher that its answer is no longer needed.
     pub fn cancel_part(&self, handle: &Handle, link: LinkId, id: &str) {
-        self.write(handle, link, UNTRACKED, frames::encode_cancel(id));
+        let frame = frames::encode_cancel(id);
+        let fits = |link_handle: Rc<LinkHandle>| link_handle.control.write_queue.push(CANCELLATION, frame);
+        self.end_if_full(handle, link, self.link_handle(link).is_none_or(fits));
     }
 
     /// Sends a health probe.
     pub fn probe_health(&self, handle: &Handle, link: LinkId) {
         let Some(link_handle) = self.link_handle(link) else { return };
-        match link_handle.protocol {
-            SearcherProtocol::Frames => self.write(handle, link, UNTRACKED, frames::encode_probe()),
-            SearcherProtocol::QueryApi => {
-                link_handle.unanswered.borrow_mut().push_back(PendingRequest::HealthProbe);
-                self.write(
-                    handle,
-                    link,
-                    UNTRACKED,
-                    get_request("/_cluster/health", &link_handle.to.to_string()),
-                );
-            }
-        }
+        let frame = match link_handle.protocol {
+            SearcherProtocol::Frames => frames::encode_probe(),
+            SearcherProtocol::QueryApi => get_request("/_cluster/health", &link_handle.to.to_string()),
+        };
+        self.write_request(handle, link, NO_CALL, PendingRequest::HealthProbe, frame);
     }
 
     /// Requests a node's version at the first contact, ahead of its first part.
     pub fn request_version(&self, handle: &Handle, link: LinkId) {
         let Some(link_handle) = self.link_handle(link) else { return };
-        link_handle.unanswered.borrow_mut().push_back(PendingRequest::Version);
-        self.write(handle, link, UNTRACKED, get_request("/", &link_handle.to.to_string()));
+        let frame = get_request("/", &link_handle.to.to_string());
+        self.write_request(handle, link, NO_CALL, PendingRequest::Version, frame);
+    }
+
+    /// Queues a request whose answer carries no id.
+    fn write_request(
+        &self,
+        handle: &Handle,
+        link: LinkId,
+        tag: u64,
+        request: PendingRequest,
+        frame: Vec<u8>,
+    ) {
+        let Some(link_handle) = self.link_handle(link) else { return };
+        self.end_if_full(handle, link, link_handle.write_request(tag, request, frame));
     }
 
-    /// Queues a frame. A full queue means that the searcher does not read, and ends the link.
-    fn write(&self, handle: &Handle, link: LinkId, tag: u64, frame: Vec<u8>) {
-        if self.link_handle(link).is_some_and(|link_handle| !link_handle.control.write_queue.push(tag, frame))
-        {
+    /// Ends a link whose write queue did not take a frame: the searcher does not read.
+    fn end_if_full(&self, handle: &Handle, link: LinkId, fitted: bool) {
+        if !fitted {
             self.end(handle, link, CloseReason::WriteBacklogFull);
         }
     }
@@ -133,8 +162,7 @@
     pub fn withdraw(&self, handle: &Handle, link: LinkId, call: CallId) {
         let Some(link_handle) = self.link_handle(link) else { return };
         if link_handle.control.write_queue.withdraw(call.0) {
-            // It was the only part requested on this link; a health probe may be outstanding as well.
-            link_handle.unanswered.borrow_mut().retain(|request| !matches!(request, PendingRequest::Part(_)));
+            link_handle.pending.borrow_mut().part_withdrawn();
             handle.dispatch(Event::CallWithdrawn(link, call));
         }
     }
@@ -174,22 +202,12 @@
         Err(error) => dial_failure(&error),
         Ok(stream) => {
             handle.dispatch(Event::LinkConnected(link));
-            let (mut mid_response, mut reader) = (false, Reader::for_responses(MAX_BODY_BYTES));
-            let mut frame_reader = FrameReader::default();
+            let mut reader = AnswerReader::new(&handle, link, link_handle.protocol, &link_handle.pending);
+            let mut was_mid_answer = false;
             let on_read = |buffer: &mut ReadBuffer| {
-                let (flow, now_mid_response) = match link_handle.protocol {
-                    SearcherProtocol::Frames => {
-                        let flow = read_frames(&handle, link, &mut frame_reader, buffer);
-                        (flow, !buffer.unread().is_empty())
-                    }
-                    SearcherProtocol::QueryApi => {
-                        let flow = read_responses(&handle, link, &link_handle, &mut reader, buffer);
-                        (flow, reader.is_mid_message(buffer.unread()))
-                    }
-                };
-                if mid_response != now_mid_response {
-                    mid_response = now_mid_response;
-                    handle.dispatch(Event::FramePartiallyRead(link, mid_response));
+                let (is_mid_answer, flow) = reader.read(buffer);
+                if std::mem::replace(&mut was_mid_answer, is_mid_answer) != is_mid_answer {
+                    handle.dispatch(Event::FramePartiallyRead(link, is_mid_answer));
                 }
                 flow
             };
@@ -200,9 +218,8 @@
                 if partially_written != was_partial {
                     handle.dispatch(Event::FramePartiallyWritten(link, partially_written));
                 }
-                match progress {
-                    WriteProgress::Partial | WriteProgress::Complete(UNTRACKED) => {}
-                    WriteProgress::Complete(tag) => handle.dispatch(Event::CallWritten(link, CallId(tag))),
+                if let WriteProgress::Complete(tag) = progress {
+                    link_handle.frame_written(&handle, link, tag);
                 }
             };
             match run_connection(
@@ -214,12 +231,7 @@
             )
             .await
             {
-                StreamEnd::PeerClosed => {
-                    // A response without a declared length is complete when the connection ends.
-                    let flow =
-                        reader.finish().map(|message| handle_response(&handle, link, &link_handle, &message));
-                    flow.and_then(ControlFlow::break_value).unwrap_or(CloseReason::ClosedByPeer)
-                }
+                StreamEnd::PeerClosed => reader.finish(),
                 StreamEnd::Failed => CloseReason::ConnectionBroken,
                 StreamEnd::ClosedLocally => CloseReason::ClosedLocally,
                 StreamEnd::Stopped(reason) => reason,
@@ -228,90 +240,3 @@
     };
     links.end(&handle, link, reason);
 }
-
-/// Reads the frames of a searcher. Frames behind which something unreadable stands are not reported.
-fn read_frames(
-    handle: &Handle,
-    link: LinkId,
-    reader: &mut FrameReader,
-    buffer: &mut ReadBuffer,
-) -> ControlFlow<CloseReason> {
-    let batch = reader.read(buffer.unread(), buffer.holds_all_received());
-    buffer.consume(batch.consumed);
-    for frame in batch.frames {
-        handle_frame(handle, link, frame)?;
-    }
-    match batch.error {
-        None => ControlFlow::Continue(()),
-        Some(error) => {
-            log::debug!("cannot parse a searcher's frame: {error}");
-            ControlFlow::Break(CloseReason::InvalidData)
-        }
-    }
-}
-
-fn handle_frame(handle: &Handle, link: LinkId, frame: Frame) -> ControlFlow<CloseReason> {
-    match frame {
-        Frame::Part { id, outcome, value } => {
-            handle.dispatch(Event::PartAnswered { link, id, outcome, value })
-        }
-        Frame::ProbeResult(healthy) => handle.dispatch(Event::HealthProbeAnswered(link, healthy)),
-        Frame::LoadReport => {}
-        Frame::ProtocolError(reason) => {
-            log::warn!("a searcher rejected a frame: {reason:?}");
-            return ControlFlow::Break(CloseReason::RejectedByPeer);
-        }
-    }
-    ControlFlow::Continue(())
-}
-
-/// Reads responses of a query API node; each belongs to the oldest unanswered request.
-fn read_responses(
-    handle: &Handle,
-    link: LinkId,
-    link_handle: &LinkHandle,
-    reader: &mut Reader,
-    buffer: &mut ReadBuffer,
-) -> ControlFlow<CloseReason> {
-    loop {
-        let message = match reader.read(buffer.unread()) {
-            Ok((used, message)) => {
-                buffer.consume(used);
-                message
-            }
-            Err(error) => {
-                log::debug!("cannot parse a node's response: {error:?}");
-                return ControlFlow::Break(CloseReason::InvalidData);
-            }
-        };
-        let Some(message) = message else { return ControlFlow::Continue(()) };
-        handle_response(handle, link, link_handle, &message)?;
-    }
-}
-
-fn handle_response(
-    handle: &Handle,
-    link: LinkId,
-    link_handle: &LinkHandle,
-    message: &Message,
-) -> ControlFlow<CloseReason> {
-    let request = link_handle.unanswered.borrow_mut().pop_front();
-    match request {
-        Some(PendingRequest::Part(id)) => {
-            let (outcome, value) = nodes::part_outcome(message);
-            handle.dispatch(Event::PartAnswered { link, id, outcome, value });
-        }
-        Some(PendingRequest::HealthProbe) => {
-            handle.dispatch(Event::HealthProbeAnswered(link, message.start_line[1] == "200"))
-        }
-        Some(PendingRequest::Version) => {
-            handle.dispatch(Event::NodeVersionReceived(link, nodes::node_version(message)))
-        }
-        None => return ControlFlow::Break(CloseReason::InvalidData),
-    }
-    if message.keep_alive() {
-        ControlFlow::Continue(())
-    } else {
-        ControlFlow::Break(CloseReason::ClosedByPeer)
-    }
-}
--- a/crates/mixer/src/program/mod.rs
+++ b/crates/mixer/src/program/mod.rs
@@ -1,6 +1,7 @@
 //! The mixer program: its configuration, and the wiring of sockets to the routing state machine.
 
 mod accepting;
+mod answers;
 mod arrivals;
 mod clients;
 mod clock;
--- a/crates/mixer/src/protocol/mod.rs
+++ b/crates/mixer/src/protocol/mod.rs
@@ -8,6 +8,8 @@
 pub mod json;
 pub mod metrics;
 pub mod nodes;
+pub mod pending_requests;
+pub mod response_reader;
 pub mod scans;
 
 /// Maximum size of a body, of a frame's value and of an answer (PROTOCOL.md).
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -417,6 +417,10 @@
             }
             return;
         };
+        // Nothing that arrives before the last byte of a call is written can be an answer to it.
+        if link.calls.get(&call_id).is_none_or(|call| call.state != CallState::Written) {
+            return self.abort_on_invalid_data(link_id);
+        }
         if let Some(call) = link.calls.get_mut(&call_id) {
             call.parts.retain(|other| *other != ticket);
             if call.parts.is_empty() {
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -497,6 +497,22 @@
     assert!(matches!(&mixer.take_replies()[0], (c, Reply::Answer { complete: true, .. }, _) if *c == client));
 }
 
+/// Guards against taking bytes that arrived before a request was written for its answer: they are another's.
+#[test_case("look"; "idempotent")]
+#[test_case("fix"; "keyed")]
+fn an_answer_to_a_call_that_is_not_written_whole_ends_its_link(traffic_type: &str) {
+    let mut mixer = test_mixer(2);
+    let client = mixer.send_scan(scan_request("a", traffic_type, &[0]));
+    let early = mixer.connect_links().remove(0);
+    mixer.answer_part(early.link, "a.0", PartOutcome::Succeeded, "another's");
+    assert!(mixer.take_effect(&Effect::AbortLink(early.link)) && mixer.take_replies().is_empty());
+    let written = mixer.send_calls().remove(0);
+    assert_ne!(written.link, early.link, "it never ran, so it is sent again");
+    mixer.answer_part(written.link, "a.0", PartOutcome::Succeeded, "v");
+    let values = vec![(0, "v".to_string())];
+    assert_eq!(mixer.take_replies(), [(client, Reply::Answer { complete: true, values }, false)]);
+}
+
 #[test]
 fn a_draining_searcher_finishes_its_parts_and_gets_no_new_ones() {
     let mut mixer = test_mixer(2);
@@ -504,7 +520,7 @@
     let calls = mixer.send_calls();
     mixer.feed(Event::DiscoveryUpdated(list_update(6, false, vec![searcher_entry(0, false)])));
     mixer.send_scan(scan_request("b", "look", &[0, 1, 2]));
-    let mut new = mixer.take_calls();
+    let mut new = mixer.send_calls();
     let drained = calls
         .iter()
         .find(|call| !new.iter().any(|other| other.link == call.link))
@@ -912,7 +928,7 @@
     idle_clients.iter().for_each(|client| mixer.feed(Event::ClientDisconnected(*client)));
     mixer.feed(Event::ClientDisconnected(active_client));
     let active_client = mixer.send_scan(scan_request("b", "look", &[0]));
-    mixer.take_calls();
+    mixer.send_calls();
     mixer.answer_part(link, "b.0", PartOutcome::Succeeded, "v");
     assert!(
         matches!(mixer.take_replies()[..], [(to, Reply::Answer { .. }, false)] if to == active_client),
@@ -944,7 +960,7 @@
     mixer.feed(Event::ClientDisconnected(idle));
     mixer.advance(300);
     let late = mixer.send_scan(scan_request("b", "look", &[1]));
-    assert_eq!(mixer.take_calls().len(), 1);
+    assert_eq!(mixer.send_calls().len(), 1);
     mixer.advance(350);
     assert!(mixer.take_effect(&Effect::CloseListener));
     mixer.feed(Event::ListenerClosed);
--- a/crates/mixer/src/transport/connection.rs
+++ b/crates/mixer/src/transport/connection.rs
@@ -29,6 +29,8 @@
     reading_stopped: Cell<bool>,
     /// More input arrived than fits and was discarded, so the message boundaries are lost.
     overflowed: Cell<bool>,
+    /// Nothing is written until the input that has arrived has been read and examined.
+    reads_first: Cell<bool>,
 }
 
 /// Why a connection ended.
@@ -54,6 +56,7 @@
             aborted: false.into(),
             overflowed: false.into(),
             reading_stopped: false.into(),
+            reads_first: false.into(),
         }
     }
 
@@ -73,6 +76,19 @@
         self.reading_stopped.set(true);
     }
 
+    /// Has the input that has already arrived read and examined before anything further is written.
+    pub fn read_before_writing(&self) {
+        self.reads_first.set(true);
+        self.recheck.notify();
+    }
+
+    /// Lets writing go on after the input has been read.
+    fn resume_writing(&self) {
+        if self.reads_first.take() {
+            self.write_queue.changed.notify();
+        }
+    }
+
     /// Has the buffered input examined again if `wanted`, or if input was discarded.
     pub fn recheck_if(&self, wanted: bool) {
         if wanted || self.overflowed.get() {
@@ -132,6 +148,10 @@
             if control.aborted.get() {
                 return StreamEnd::ClosedLocally;
             }
+            if control.reads_first.get() && !control.closing.get() {
+                control.write_queue.changed.wait().await;
+                continue;
+            }
             // Queued frames have `FLUSH_TIMEOUT` to be written once the connection is closing, and none once
             // it is aborted.
             let finish = async {
@@ -170,11 +190,25 @@
     control: &ConnectionControl,
     buffer: &mut ReadBuffer,
 ) -> Option<StreamEnd<H>> {
-    let must_wait = buffer.holds_all_received() || buffer.is_full() || control.reading_stopped.get();
-    let mut received = match must_wait {
-        true => next_bytes(stream, control, buffer).await,
-        false => read_available(stream, buffer).await,
-    };
+    let may_have_input = !buffer.holds_all_received() || control.reads_first.get();
+    let can_read = !buffer.is_full() && !control.reading_stopped.get();
+    if may_have_input && can_read {
+        let received = read_available(stream, buffer).await;
+        let end = read_rest(stream, buffer, received).await;
+        control.resume_writing();
+        return end;
+    }
+    control.resume_writing();
+    let received = next_bytes(stream, control, buffer).await;
+    read_rest(stream, buffer, received).await
+}
+
+/// Goes on reading after a first read, until the buffer is full or the kernel has no more.
+async fn read_rest<H>(
+    stream: &Stream,
+    buffer: &mut ReadBuffer,
+    mut received: io::Result<Received>,
+) -> Option<StreamEnd<H>> {
     loop {
         match received {
             Ok(Received::End) => return Some(StreamEnd::PeerClosed),
--- a/crates/mixer/src/transport/connection/tests.rs
+++ b/crates/mixer/src/transport/connection/tests.rs
@@ -1,7 +1,7 @@
 use super::{run_connection, ConnectionControl, ReadBuffer, StreamEnd, WriteProgress};
 use crate::transport::{Reactor, Stream};
 use futures_lite::future;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::ops::ControlFlow;
@@ -130,3 +130,32 @@
     assert_eq!(reads_of(10_000, 4_096), [(4_096, false), (4_096, false), (1_808, true)]);
     assert_eq!(reads_of(8_192, 4_096), [(4_096, false), (4_096, false)]);
 }
+
+/// Guards against taking input that arrived before a request was written for the answer to it.
+#[test]
+fn input_that_has_arrived_is_read_before_a_request_is_written() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let peer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let stream = accepted(&listener);
+    let (control, order) = (ConnectionControl::new(10), RefCell::new(Vec::new()));
+    (&peer).write_all(&[1]).unwrap();
+    let read = |buffer: &mut ReadBuffer| {
+        let unread = buffer.unread().to_vec();
+        buffer.consume(unread.len());
+        if unread == [1] {
+            // Bytes without a request arrive just as the first request is queued.
+            (&peer).write_all(&[2]).unwrap();
+            control.read_before_writing();
+            assert!(control.write_queue.push(1, vec![7]));
+        }
+        order.borrow_mut().extend(unread.first().map(|byte| format!("read {byte}")));
+        ControlFlow::<()>::Continue(())
+    };
+    let written = |_| {
+        order.borrow_mut().push("written".into());
+        control.close();
+    };
+    let connection = run_connection(&stream, &control, ReadBuffer::new(4096), read, written);
+    Reactor::new().unwrap().block_on(connection);
+    assert_eq!(*order.borrow(), ["read 1", "read 2", "written"]);
+}
--- a/crates/mixer/tests/dialect.rs
+++ b/crates/mixer/tests/dialect.rs
@@ -302,6 +302,42 @@
     assert_eq!(sent_requests, if behaviour == NodeMode::QueueFull { 2 } else { 1 });
 }
 
+/// Guards against taking a second copy of an answer for the answer to the next search, which had not been
+/// sent yet: that connection then stayed one answer behind.
+#[test]
+fn a_second_copy_of_an_answer_is_not_taken_for_the_next_one() {
+    let nodes = [NodeMode::AnswerTwice, HEALTHY_NODE, HEALTHY_NODE];
+    let (mixer, _received) = mixer_with_nodes("copies", &nodes);
+    let mut client = mixer.connect();
+    let searches: Vec<String> = (1..=8)
+        .map(|size| format!(r#"{{"query":{{"range":{{"at":{{"gte":{}}}}}}},"size":{size}}}"#, size * 50))
+        .collect();
+    let body: String = searches.iter().map(|search| format!("{{}}\n{search}\n")).collect();
+    for _ in 0..5 {
+        let (status, _, answer) = request(&mut client, "POST", "/cues/_msearch", "", &body);
+        assert_eq!(status, 200, "{answer}");
+        for (search, actual) in searches.iter().zip(answer["responses"].as_array().unwrap()) {
+            if actual["status"] == 200 {
+                let expected = reference_answer(search);
+                assert_eq!((&actual["hits"], &actual["_shards"]), (&expected["hits"], &expected["_shards"]));
+            }
+        }
+        let served =
+            answer["responses"].as_array().unwrap().iter().filter(|one| one["status"] == 200).count();
+        assert!(served >= 4, "the healthy nodes answer: {answer}");
+    }
+}
+
+/// A node's answer to an edit with a second copy behind it confirms nothing: it may be that of another edit.
+#[test]
+fn an_edit_answered_twice_fails_and_is_not_resent() {
+    let (mixer, received) = mixer_with_nodes("edit-copies", &[NodeMode::AnswerTwice, NodeMode::AnswerTwice]);
+    let (status, _, body) =
+        request(&mut mixer.connect(), "POST", "/cues/_update/c1", "", r#"{"doc":{"cue":"x"}}"#);
+    assert_eq!(status, 502, "{body}");
+    assert_eq!(received.iter().flat_map(Receiver::try_iter).count(), 1);
+}
+
 /// Scans of the native API are never sent to a node that speaks only the query API.
 #[test]
 fn native_scans_are_not_sent_to_query_api_nodes() {
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -17,6 +17,8 @@
 pub enum NodeMode {
     /// Answers it, correctly or not.
     Answers(AnswerMode),
+    /// Answers correctly, with a second copy of each answer right behind it.
+    AnswerTwice,
     /// Answers that its queue is full.
     QueueFull,
     /// Answers with this status and an HTML body.
@@ -79,6 +81,11 @@
         let answer = |answer_mode| answer(&target, &body, answer_mode);
         match mode {
             NodeMode::Answers(answer_mode) => respond(to, 200, &answer(answer_mode)?, false)?,
+            NodeMode::AnswerTwice => {
+                let whole = answer(AnswerMode::Valid)?;
+                let head = format!("HTTP/1.1 200 -\r\nContent-Length: {}\r\n\r\n", whole.len());
+                to.write_all((head + &whole).repeat(2).as_bytes()).ok()?;
+            }
             NodeMode::CloseAfterAnswer => return respond(to, 200, &answer(AnswerMode::Valid)?, true),
             NodeMode::QueueFull => respond(to, 429, "{}", false)?,
             NodeMode::Status(status) => respond(to, status, "<html>no</html>", false)?,
