Refuse a request behind which no other request can begin

Seen: POST /cues/_search with Content-Length 0 and its query behind was answered 200 with all documents, and a multi-search cut at a line was answered without its last searches. Cause: requests.rs dispatched a request before it looked at the bytes behind it in the same buffer, which were then answered 400 as a request of their own. The platform's own scans are one JSON object, so that a length too small was an error there already. Change: a request with bytes behind it that can't begin another one (http::may_begin_request: no method) is answered 400 as the last on its connection. Pipelined requests go on as before.

--- a/crates/mixer/src/program/requests.rs
+++ b/crates/mixer/src/program/requests.rs
@@ -4,7 +4,7 @@
 use super::arrivals::Arrivals;
 use super::clients::{Clients, Connection};
 use super::handle::Handle;
-use crate::protocol::http::{Message, ParseError, Reader, MAX_UNREAD_BYTES};
+use crate::protocol::http::{may_begin_request, Message, ParseError, Reader, MAX_UNREAD_BYTES};
 use crate::protocol::scans::{parse_request, ClientRequest, RequestError};
 use crate::routing::{ClientId, Event};
 use crate::transport::{
@@ -101,11 +101,7 @@
                     }
                     self.event(client, &message)
                 }
-                Err(error) => {
-                    self.unparsable = true;
-                    connection.is_last.set(true);
-                    Event::InvalidRequest(client, parse_error(error), true)
-                }
+                Err(error) => self.unparsable_input(client, connection, parse_error(error)),
             };
             // The client left while the request waited to be parsed: there is no one to answer, and the next
             // read reports the end.
@@ -113,6 +109,14 @@
                 break;
             }
             self.record_arrivals(buffer);
+            // A request whose length is too small looks complete: the rest of its body stands behind it.
+            let event = match may_begin_request(buffer.unread()) {
+                true => event,
+                false => {
+                    let error = RequestError::Invalid("the bytes behind it are no request".into());
+                    self.unparsable_input(client, connection, error)
+                }
+            };
             self.request_start = request_start.filter(|at| at.elapsed() >= MIN_REPORTED_AGE);
             self.report_start(handle, client);
             (self.request_start, self.start_reported) = (None, false);
@@ -135,6 +139,13 @@
         ControlFlow::Continue(())
     }
 
+    /// Ends the connection with an error, as its further input can't be split into requests.
+    fn unparsable_input(&mut self, client: ClientId, connection: &Connection, error: RequestError) -> Event {
+        self.unparsable = true;
+        connection.is_last.set(true);
+        Event::InvalidRequest(client, error, true)
+    }
+
     fn event(&self, client: ClientId, message: &Message) -> Event {
         match parse_request(message, self.clients.indices()) {
             Ok(ClientRequest::Query(request)) => Event::QueryRequested(client, request),
--- a/crates/mixer/src/protocol/http.rs
+++ b/crates/mixer/src/protocol/http.rs
@@ -276,6 +276,20 @@
     }
 }
 
+/// Longer than any registered method.
+const MAX_METHOD_BYTES: usize = 32;
+
+/// Whether these bytes may begin a request, as far as they go. Empty lines before it are skipped.
+pub fn may_begin_request(bytes: &[u8]) -> bool {
+    let start = bytes.iter().position(|byte| !matches!(byte, b'\r' | b'\n')).unwrap_or(bytes.len());
+    let line = &bytes[start..];
+    let method = line.split(|byte| *byte == b' ').next().unwrap_or_default();
+    let is_whole = method.len() < line.len();
+    method.len() <= MAX_METHOD_BYTES
+        && (!is_whole || !method.is_empty())
+        && method.iter().all(|byte| byte.is_ascii_uppercase() || *byte == b'-')
+}
+
 /// Encodes a response. `close` announces that the connection ends with it.
 pub fn response(status: u16, headers: &[(&str, &str)], body: &str, close: bool) -> Vec<u8> {
     let reason = match status {
--- a/crates/mixer/src/protocol/http/tests.rs
+++ b/crates/mixer/src/protocol/http/tests.rs
@@ -105,3 +105,16 @@
     assert_eq!((message.start_line[1].as_str(), message.header("retry-after")), ("503", Some("0.500")));
     assert!(message.body == b"{}" && !message.keep_alive());
 }
+
+#[test_case("", true; "nothing")]
+#[test_case("\r\n", true; "an empty line")]
+#[test_case("P", true; "a method begins")]
+#[test_case("\r\nVERSION-CONTROL /a HTTP/1.1", true; "a method after an empty line")]
+#[test_case("\"}", false; "the rest of a body")]
+#[test_case("{}", false; "a body")]
+#[test_case(" GET /", false; "no method")]
+#[test_case("noise", false; "noise")]
+#[test_case("AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA", false; "a method without end")]
+fn bytes_that_cannot_begin_a_request_are_recognized(bytes: &str, expected: bool) {
+    assert_eq!(super::may_begin_request(bytes.as_bytes()), expected);
+}
--- a/crates/mixer/tests/dialect.rs
+++ b/crates/mixer/tests/dialect.rs
@@ -182,6 +182,17 @@
     assert_eq!(next_status, 200, "the connection stays open");
 }
 
+/// Guards against running a request whose length is too small as if its body had ended there.
+#[test_case("/cues/_search", r#"{"size":1}"#, 0; "a search without its query")]
+#[test_case("/cues/_msearch", "{}\n{}\n{}\n{\"size\":1}\n", 6; "a multi-search without its last search")]
+fn a_request_with_too_small_a_length_is_invalid(target: &str, body: &str, length: usize) {
+    let (mixer, received) = mixer(&format!("short-{length}"), &[answer_searches], ("", ""));
+    let mut client = mixer.connect();
+    send(&mut client, format!("POST {target} HTTP/1.1\r\nContent-Length: {length}\r\n\r\n{body}"));
+    assert_eq!(read_response(&mut client).0, 400);
+    assert_eq!(received[0].try_iter().filter(|(letter, _)| *letter == b'm').count(), 0, "nothing has run");
+}
+
 /// A mixer with nodes that serve the query API over HTTP/1.1 in place of searchers that speak the frame
 /// protocol.
 fn mixer_with_nodes(name: &str, behaviours: &[NodeMode]) -> (MixerProcess, Vec<Receiver<NodeRequest>>) {
