Leave a connection to discovery that brings more than its answer

Seen: with a second answer begun right behind the first one, the next call came on the same connection, where the rest of that answer would be read as its own. A list taken wrongly was not seen: each call was written whole before its answer was read, and an answer cut short is no JSON. Cause: watch.rs, Agent::exchange, returned a whole answer without a look at the bytes behind it, and Agent::call used a kept connection without a look at what had come since. Change: such a connection is not kept; one on which something has arrived before a call is dialled anew. The answer itself holds: it is whole by its JSON, and what discovery has written counts as told. Result: a_discovery_connection_that_brings_more_than_its_answer_is_not_used_again failed before, passes now; all of ends.rs and sockets.rs pass.

--- a/crates/mixer/src/program/watch.rs
+++ b/crates/mixer/src/program/watch.rs
@@ -5,7 +5,7 @@
 use crate::protocol::http::{get_request, Message, Reader, MAX_UNREAD_BYTES};
 use crate::protocol::json::Json;
 use crate::routing::Event;
-use crate::transport::{dial, read, timeout, write_all, Notify, ReadBuffer, Stream};
+use crate::transport::{dial, has_unread_input, read, timeout, write_all, Notify, ReadBuffer, Stream};
 use futures_lite::future;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -117,7 +117,9 @@
     }
 
     async fn call(&mut self, path: &str, prompt_timeout: Duration) -> Result<ListUpdate, String> {
-        let stream = match self.stream.take() {
+        // What arrived before a request is no answer to it.
+        let kept = self.stream.take().filter(|stream| !has_unread_input(stream));
+        let stream = match kept {
             Some(kept) => kept,
             None => dial(self.at, prompt_timeout).await.map_err(|error| error.to_string())?,
         };
@@ -145,7 +147,8 @@
             let (used, message) = reader.read(buffer.unread()).map_err(|error| format!("{error:?}"))?;
             buffer.consume(used);
             if let Some(message) = message {
-                return Ok((message, true));
+                // More than one answer, or noise: the next answer could not be told from the rest of it.
+                return Ok((message, buffer.unread().is_empty()));
             }
             match read(stream, buffer.space()).await.map_err(to_text)? {
                 0 => {
--- a/crates/mixer/src/transport/connection.rs
+++ b/crates/mixer/src/transport/connection.rs
@@ -314,6 +314,12 @@
     false
 }
 
+/// Whether something has arrived that was not read: bytes, or the end of the connection.
+pub fn has_unread_input(stream: &Stream) -> bool {
+    let peeked = retry_interrupted(|| stream.get_ref().peek(&mut [0]));
+    !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock || is_resource_shortage(&error))
+}
+
 /// Shuts down the write direction and discards a limited amount of further input, so that a reset does not
 /// destroy what was written.
 pub async fn linger(stream: &Stream, within: Duration, mut bytes: usize) {
--- a/crates/mixer/tests/ends.rs
+++ b/crates/mixer/tests/ends.rs
@@ -267,6 +267,18 @@
     assert_eq!(agent.next_request().path, next_path);
 }
 
+/// Guards against reading the rest of one discovery answer as the next one.
+#[test]
+fn a_discovery_connection_that_brings_more_than_its_answer_is_not_used_again() {
+    let (address, _received) = start_searcher(answer_parts);
+    let (agent, known) = (ScriptedAgent::default(), searcher_list(&[address]));
+    let (_mixer, agent, watch) = mixer_with_pushed_lists("surplus", agent, &known);
+    let next = watch.respond_with_surplus(r#"{"generation":2,"reset":false,"instances":[]}"#, "HTTP/1.1 20");
+    assert!(next.is_none(), "the connection is closed");
+    let next_call = agent.next_request();
+    assert!(next_call.path.starts_with("/v1/servers?after=2&"), "the answer holds: {}", next_call.path);
+}
+
 /// A change list older than a drain does not undo the drain, not even until the full list arrives.
 #[test]
 fn stale_changes_do_not_undo_a_drain() {
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -92,6 +92,14 @@
         self.read_request().expect("failed to read the next request")
     }
 
+    /// Answers it with `surplus` right behind the answer. Returns the next request on the same connection, or
+    /// `None` if that is closed.
+    pub fn respond_with_surplus(mut self, body: &str, surplus: &str) -> Option<Self> {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        self.stream.write_all((head + body + surplus).as_bytes()).expect("failed to write to the mixer");
+        self.read_request()
+    }
+
     /// Starts a response without a length, which ends when the connection does.
     pub fn respond_until_close(mut self, body: &str) -> Self {
         self.stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").expect("failed to write to the mixer");
