Deliver an edit of the query API to one searcher at most

Evidence: the two nodes differ, so it is the retry, not reassign_after_break, which stays with the searcher; with the class irreversible one node got it and the answer was 502. Change: ScanSpec::single_delivery, set for each edit of the query API; Part::may_be_sent_again keeps it for retries, late parts and parts that wait for room. Stricter than irreversible: what a searcher had whole and rejected goes to no other. Ways to a second node looked at: reset, close, unreadable and stuck links, errors, an answer that confirms another edit, refusals, late answers and drains after the last byte had it, over frames and HTTP. Drains and breaks before the last byte, nodes out of reach and hedged connections had not.

--- a/crates/fronts/tests/passed_on.rs
+++ b/crates/fronts/tests/passed_on.rs
@@ -72,8 +72,15 @@
         self.scans += 1;
         let part = PartSpec { shard: 0, weight: 1.0 / parts as f64 };
         let (time_left, parts) = (Span::from_millis(4_000), vec![part; parts]);
-        let scan =
-            ScanSpec { traffic_type: 0, customer: 0, time_left, work_hint: None, is_retry: false, parts };
+        let scan = ScanSpec {
+            traffic_type: 0,
+            customer: 0,
+            time_left,
+            work_hint: None,
+            is_retry: false,
+            single_delivery: false,
+            parts,
+        };
         self.mixer.start_scan(&mut self.host, ScanId { slot: self.scans, generation: 1 }, scan);
     }
 
--- a/crates/mixer/src/routing/api_equivalence.rs
+++ b/crates/mixer/src/routing/api_equivalence.rs
@@ -1,5 +1,8 @@
 //! Replays the same scans through the platform's API and through the query API, against searchers that behave
 //! the same. Both runs must end exactly alike. Time is virtual and all randomness comes from a seed.
+//!
+//! An edit through the query API must reach one searcher only, whatever its traffic type allows. So its equal
+//! on the platform's side is a scan of a type that must not run twice, as long as no searcher rejects it.
 
 use super::*;
 use crate::protocol::discovery::{ListUpdate, SearcherEntry};
@@ -21,12 +24,18 @@
     "services.count=3\nservices.0.name=window\nservices.0.aim=2000000\nservices.0.give_up=4000000\n\
 services.0.repeat=pure\nservices.1.name=library\nservices.1.aim=2500000\nservices.1.give_up=5000000\n\
 services.1.repeat=pure\nservices.2.name=fix\nservices.2.aim=2000000\nservices.2.give_up=5000000\n\
-services.2.repeat=token\nservices.2.window=2500000\ncustomers.count=1\ncustomers.0.name=acme\n\
+services.2.repeat=token\nservices.2.window=2500000\n\
+customers.count=1\ncustomers.0.name=acme\n\
 customers.0.quota_per_s=1000\nfamily_info.cells=1\nfamily_info.width=1\nfamily_info.slabs=6\n\
 family_info.floor_by_class=1.0,0.5,1.0\nfamily_info.complete_from=1.0,1.0,1.0\n\
 limits.attempts_cap=3\nlimits.cancel=true\nlimits.may_probe=true\nlimits.dial_timeout=250000\n\
 limits.max_open=4000\nlimits.multiplex=32\ntick=5000\nfleet_size=2\n";
 
+/// The traffic type of edits in [`SETTINGS`], and the one that they are replayed with through the platform's
+/// API.
+const KEYED_EDITS: &str = "services.2.repeat=token\nservices.2.window=2500000\n";
+const IRREVERSIBLE_EDITS: &str = "services.2.repeat=side_effect\n";
+
 const INDICES: &str = "{ dialect: { indices: {
   cues: { searches: 'window', edits: 'fix', customer: 'acme' },
   films: { searches: 'library', customer: 'acme', partial: true } } } }";
@@ -169,15 +178,14 @@
 struct Replay {
     api: ClientApi,
     seed: u64,
+    /// Whether searchers reject edits at times.
+    rejects_edits: bool,
     state: State,
     now: Moment,
     scheduled: BTreeMap<(Moment, u64), ScheduledEvent>,
     count: u64,
     timer: Option<Moment>,
     scans: Vec<ScanLine>,
-    /// Scans by the name in the ids of their parts, in the order in which they were sent.
-    scans_by_name: BTreeMap<String, usize>,
-    current_scan: Option<usize>,
     attempts: BTreeMap<(usize, u32), usize>,
     counts: BTreeMap<Kind, Counts>,
     scans_by_client: BTreeMap<ClientId, usize>,
@@ -185,8 +193,12 @@
 }
 
 impl Replay {
-    fn new(api: ClientApi, seed: u64) -> Self {
-        let settings = Settings::parse(SETTINGS.as_bytes()).unwrap();
+    fn new(api: ClientApi, seed: u64, rejects_edits: bool) -> Self {
+        let settings = match api {
+            ClientApi::Platform => SETTINGS.replace(KEYED_EDITS, IRREVERSIBLE_EDITS),
+            ClientApi::QueryApi => SETTINGS.into(),
+        };
+        let settings = Settings::parse(settings.as_bytes()).unwrap();
         let descriptors = DescriptorBudget {
             reserved: 0,
             rejections: 8,
@@ -214,13 +226,12 @@
         let mut replay = Self {
             api,
             seed,
+            rejects_edits,
             state,
             now,
             scheduled: BTreeMap::new(),
             count: 0,
             timer: None,
-            scans_by_name: BTreeMap::new(),
-            current_scan: None,
             attempts: BTreeMap::new(),
             counts: BTreeMap::new(),
             scans_by_client: BTreeMap::new(),
@@ -290,18 +301,30 @@
     /// Counts a relay and draws its outcome.
     fn relay_sent(&mut self, part_request: &PartRequest) -> SimulatedOutcome {
         let (name, _) = part_request.id.rsplit_once('.').unwrap();
-        let current_scan = self.current_scan;
-        let scan = *self
-            .scans_by_name
-            .entry(name.into())
-            .or_insert_with(|| current_scan.expect("the first parts of a scan are sent with it"));
+        let scan = self.scan_number(name);
+        assert!(self.scans[scan].shards.contains(&part_request.shard), "{}", part_request.id);
         let attempts = self.attempts.entry((scan, part_request.shard)).or_default();
         *attempts += 1;
         let attempts = *attempts;
         let counts = self.counts.entry(self.scans[scan].kind).or_default();
         counts.relays += 1;
         counts.further += usize::from(attempts > 1);
-        draw_outcome(self.seed, scan, part_request.shard, attempts)
+        let outcome = draw_outcome(self.seed, scan, part_request.shard, attempts);
+        match (outcome, self.scans[scan].kind) {
+            (SimulatedOutcome::TurnedAway(after), Kind::Fix) if !self.rejects_edits => {
+                SimulatedOutcome::Erred(after)
+            }
+            _ => outcome,
+        }
+    }
+
+    /// The scan with this name: the client's through the platform's API, one numbered in the order of the
+    /// requests through the query API.
+    fn scan_number(&self, name: &str) -> usize {
+        match self.api {
+            ClientApi::Platform => name.strip_prefix('r').unwrap().parse().unwrap(),
+            ClientApi::QueryApi => name.rsplit('-').next().unwrap().parse::<usize>().unwrap() - 1,
+        }
     }
 
     fn count_reply(&mut self, client: ClientId, reply: &Reply) {
@@ -336,7 +359,6 @@
             ClientApi::Platform => Event::ScanRequested(client, platform_request(number, &line)),
             ClientApi::QueryApi => Event::QueryRequested(client, Box::new(query_api_request(&line))),
         };
-        self.current_scan = Some(number);
         self.feed(event);
     }
 
@@ -420,15 +442,31 @@
     Request::parse("POST", &target, key, body.as_bytes()).unwrap()
 }
 
+fn all_scans(counts: &BTreeMap<Kind, Counts>) -> usize {
+    counts.values().map(|c| c.complete + c.partial + c.rejected + c.failed).sum()
+}
+
 #[test]
 fn a_release_peak_ends_alike_through_both_apis() {
     for seed in 1..=6 {
-        let (platform, query_api) =
-            (Replay::new(ClientApi::Platform, seed).run(), Replay::new(ClientApi::QueryApi, seed).run());
+        let platform = Replay::new(ClientApi::Platform, seed, false).run();
+        let query_api = Replay::new(ClientApi::QueryApi, seed, false).run();
         assert_eq!(platform, query_api, "seed {seed}");
-        let all = platform.values().map(|c| c.complete + c.partial + c.rejected + c.failed);
-        assert_eq!(all.sum::<usize>(), 480, "every scan ends once: {platform:?}");
-        assert!(platform[&Kind::Library].partial > 0 && platform[&Kind::Fix].further > 0, "{platform:?}");
+        assert_eq!(all_scans(&platform), 480, "every scan ends once: {platform:?}");
+        let edits = &platform[&Kind::Fix];
+        assert!(platform[&Kind::Library].partial > 0 && edits.failed > 0, "{platform:?}");
+        assert!(platform[&Kind::Window].further > 0 && edits.further == 0, "{platform:?}");
+    }
+}
+
+/// An edit that a searcher has rejected is not sent to another one; its client is told that it may retry.
+#[test]
+fn edits_through_the_query_api_reach_one_searcher_though_it_rejects_them() {
+    for seed in 1..=6 {
+        let query_api = Replay::new(ClientApi::QueryApi, seed, true).run();
+        let edits = &query_api[&Kind::Fix];
+        assert_eq!((all_scans(&query_api), edits.further), (480, 0), "seed {seed}: {query_api:?}");
+        assert!(edits.rejected > 0 && query_api[&Kind::Window].further > 0, "{query_api:?}");
     }
 }
 
--- a/crates/mixer/src/routing/query.rs
+++ b/crates/mixer/src/routing/query.rs
@@ -227,6 +227,11 @@
 }
 
 impl QueryContext {
+    /// Whether this is an edit, which must reach one searcher at most.
+    pub fn is_edit(&self) -> bool {
+        matches!(self.request.operation, Operation::Edit { .. })
+    }
+
     /// Whether a shard's response is valid. A response that can only be parsed in part fails its part.
     pub fn accepts(&self, value: &str) -> bool {
         match &self.request.operation {
--- a/crates/mixer/src/routing/state.rs
+++ b/crates/mixer/src/routing/state.rs
@@ -308,7 +308,10 @@
             scan_request.request_id.push('x');
         }
         let scan = match self.validate(&scan_request, request_start) {
-            Ok(scan) => scan,
+            Ok(scan) => {
+                let single_delivery = query.as_ref().is_some_and(QueryContext::is_edit);
+                ScanSpec { single_delivery, ..scan }
+            }
             Err(error) => {
                 let reply = match query {
                     Some(context) => query::reply(
@@ -391,6 +394,7 @@
             time_left: scan_request.time_left.saturating_sub(self.host.now.since(request_start)),
             work_hint: scan_request.parts.iter().filter_map(|part| part.work).reduce(|a, b| a + b),
             is_retry: scan_request.is_retry,
+            single_delivery: false,
             parts,
         })
     }
--- a/crates/mixer/src/routing/tests.rs
+++ b/crates/mixer/src/routing/tests.rs
@@ -77,8 +77,17 @@
 /// A mixer in front of that many searchers, each of which holds every shard. `more` overrides settings of the
 /// same name.
 fn test_mixer_with(searchers: u16, more: &str, descriptors: DescriptorBudget) -> TestMixer {
+    test_mixer_of_operator(searchers, more, descriptors, &OperatorConfig::default())
+}
+
+fn test_mixer_of_operator(
+    searchers: u16,
+    more: &str,
+    descriptors: DescriptorBudget,
+    operator: &OperatorConfig,
+) -> TestMixer {
     let settings = Settings::parse(format!("{SETTINGS}{more}").as_bytes()).unwrap();
-    let state = State::new(&settings, 7, descriptors, &OperatorConfig::default(), "n0").unwrap();
+    let state = State::new(&settings, 7, descriptors, operator, "n0").unwrap();
     let now = Moment::from_micros(1_764_000_000_000_000);
     let mut mixer = TestMixer { state, now, timer: None, effects: Vec::new(), clients: 0 };
     let known = list_update(5, true, (0..searchers).map(|number| searcher_entry(number, true)).collect());
@@ -1076,4 +1085,5 @@
     assert_eq!(ids, ["q7-1.0", "q7-1x.0"]);
 }
 
+mod edits;
 mod windows;
--- a/crates/mixer/tests/dialect.rs
+++ b/crates/mixer/tests/dialect.rs
@@ -196,21 +196,31 @@
 /// A mixer with nodes that serve the query API over HTTP/1.1 in place of searchers that speak the frame
 /// protocol.
 fn mixer_with_nodes(name: &str, behaviours: &[NodeMode]) -> (MixerProcess, Vec<Receiver<NodeRequest>>) {
+    mixer_with_nodes_of(name, behaviours, ("", ""))
+}
+
+/// The same, with a change of the configuration.
+fn mixer_with_nodes_of(
+    name: &str,
+    behaviours: &[NodeMode],
+    config_change: (&str, &str),
+) -> (MixerProcess, Vec<Receiver<NodeRequest>>) {
     let (addresses, received): (Vec<SocketAddr>, Vec<_>) =
         behaviours.iter().map(|behaviour| start_node(*behaviour)).unzip();
-    let (at, known) = (free_address(), searcher_list(&addresses));
-    let config_file = temp_file(
-        &format!("node-{name}.json"),
-        &mixer_config(&at.to_string(), agent_with_list(known.clone()), &known),
-    );
+    (mixer_at(name, &addresses, config_change), received)
+}
+
+/// A mixer with nodes of the query API at these addresses.
+fn mixer_at(name: &str, nodes: &[SocketAddr], config_change: (&str, &str)) -> MixerProcess {
+    let (at, known) = (free_address(), searcher_list(nodes));
+    let config = mixer_config(&at.to_string(), agent_with_list(known.clone()), &known);
+    let config_file =
+        temp_file(&format!("node-{name}.json"), &config.replace(config_change.0, config_change.1));
     let operator = temp_file(
         &format!("node-{name}.json5"),
         &OPERATOR_CONFIG.replace("indices:", "nodes: ['s*'], indices:"),
     );
-    (
-        start_mixer(Path::new(env!("CARGO_BIN_EXE_fernglade-mixer")), 256, config_file, Some(operator), at),
-        received,
-    )
+    start_mixer(Path::new(env!("CARGO_BIN_EXE_fernglade-mixer")), 256, config_file, Some(operator), at)
 }
 
 const HEALTHY_NODE: NodeMode = NodeMode::Answers(AnswerMode::Valid);
@@ -294,23 +304,56 @@
     assert!(served >= 3, "{served} of 6");
 }
 
-/// An edit may have run if its node resets the connection after reading it or during the answer, or sends an
-/// unusable answer. Only an edit that was refused by a full queue is sent again.
+/// The traffic class of edits in the configuration, and one whose parts may be repeated by their key.
+const IRREVERSIBLE: &str = r#""repeat":"side_effect""#;
+const KEYED: &str = r#""repeat":"token","window":2500000"#;
+
+/// Guards against an edit that reaches a second node, however the first one ends it, also where its class
+/// allows repeats of a keyed part.
 #[test_case(NodeMode::CloseAfterRequest, 502; "reset after the request")]
 #[test_case(NodeMode::CloseMidAnswer, 502; "reset during the answer")]
 #[test_case(NodeMode::Answers(AnswerMode::Valid), 200; "saved")]
 #[test_case(NodeMode::AnswerUntilClose { resets: false }, 200; "saved, response without a length")]
 #[test_case(NodeMode::AnswerUntilClose { resets: true }, 502; "reset during a response without a length")]
 #[test_case(NodeMode::Status(503), 502; "an error that may follow the effect")]
-#[test_case(NodeMode::QueueFull, 429; "refused by all nodes, so it has not run")]
-fn an_edit_is_resent_to_nodes_only_if_it_cannot_have_run(behaviour: NodeMode, status: u16) {
-    let name: String = format!("edit{behaviour:?}").chars().filter(char::is_ascii_alphanumeric).collect();
-    let (mixer, received) = mixer_with_nodes(&name, &[behaviour, behaviour]);
-    let (actual_status, _, body) =
-        request(&mut mixer.connect(), "POST", "/cues/_update/c1", "", r#"{"doc":{"cue":"x"}}"#);
-    assert_eq!(actual_status, status, "{body}");
-    let sent_requests = received.iter().flat_map(|received| received.try_iter()).count();
-    assert_eq!(sent_requests, if behaviour == NodeMode::QueueFull { 2 } else { 1 });
+#[test_case(NodeMode::EndlessChunks, 502; "an answer without end")]
+#[test_case(NodeMode::NeverAnswer, 502; "no answer in time")]
+#[test_case(NodeMode::QueueFull, 429; "refused, so it has not run")]
+fn an_edit_reaches_one_node_only(behaviour: NodeMode, status: u16) {
+    for (class, repeat) in [("irreversible", IRREVERSIBLE), ("keyed", KEYED)] {
+        let name: String =
+            format!("edit{class}{behaviour:?}").chars().filter(char::is_ascii_alphanumeric).collect();
+        let (mixer, received) = mixer_with_nodes_of(&name, &[behaviour; 3], (IRREVERSIBLE, repeat));
+        let (actual_status, _, body) = request(
+            &mut mixer.connect(),
+            "POST",
+            "/cues/_update/c1",
+            "Idempotency-Key: k1\r\n",
+            r#"{"doc":{"cue":"x"}}"#,
+        );
+        assert_eq!(actual_status, status, "{class}: {body}");
+        let sent_requests = received.iter().flat_map(|received| received.try_iter()).count();
+        assert_eq!(sent_requests, 1, "{class}");
+    }
+}
+
+/// A node that can't be reached has no part of the edit: it goes to the next one.
+#[test]
+fn an_edit_goes_on_from_a_node_that_cannot_be_reached() {
+    let (reachable, received) = start_node(HEALTHY_NODE);
+    let refusing = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    for attempt in 0..6 {
+        let name = format!("unreachable{attempt}");
+        let mixer = mixer_at(&name, &[refusing, reachable], (IRREVERSIBLE, KEYED));
+        let (status, _, body) = request(
+            &mut mixer.connect(),
+            "POST",
+            "/cues/_update/c1",
+            "Idempotency-Key: k1\r\n",
+            r#"{"doc":{"cue":"x"}}"#,
+        );
+        assert_eq!((status, received.try_iter().count()), (200, 1), "{body}");
+    }
 }
 
 /// Guards against taking a second copy of an answer for the answer to the next search, which had not been
--- a/crates/simhost/src/instance.rs
+++ b/crates/simhost/src/instance.rs
@@ -221,6 +221,7 @@
                 time_left: Span::from_micros(time_left.into()),
                 work_hint: work,
                 is_retry: options & 2 != 0,
+                single_delivery: false,
                 parts: Vec::new(),
             };
             let id = self.ids.open(correlation, job);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -214,9 +214,19 @@
             self.replicas.suspects.iter().any(|suspect| self.replicas.states[suspect].seems_dead(now));
         let parts = scan.parts.iter().map(|request| Part { request: *request, ..Part::default() }).collect();
         let (traffic_type, deadline) = (scan.traffic_type, now + timeout);
+        let idempotency = if scan.single_delivery { Idempotency::SingleDelivery } else { kind.idempotency };
         self.scans.insert(
             id,
-            Scan { traffic_type, priority, rank, deadline, parts, awaits_canary, ..Scan::default() },
+            Scan {
+                traffic_type,
+                idempotency,
+                priority,
+                rank,
+                deadline,
+                parts,
+                awaits_canary,
+                ..Scan::default()
+            },
         );
         self.schedule(host, wait, move |mixer, host| {
             if mixer.scans.get(&id).is_some_and(|scan| scan.first_step_complete.is_none()) {
@@ -377,6 +387,7 @@
             if matches!(outcome, RelayOutcome::Rejected | RelayOutcome::Unreachable | RelayOutcome::NotSent) {
                 part.may_have_run = ran_before;
             }
+            part.was_rejected |= outcome == RelayOutcome::Rejected;
             part.failed = !part.succeeded;
             if died && scan.awaits_canary {
                 return mixer.finish(host, id);
@@ -393,9 +404,7 @@
         host.relay(relay, id, index, to, scan.deadline.since(now));
         // A retry may wait for a connection or behind other parts until the searchers have forgotten its
         // idempotency key.
-        if let (Idempotency::ByKey(window), Some(first)) =
-            (self.types[scan.traffic_type].idempotency, ran_before)
-        {
+        if let (Idempotency::ByKey(window), Some(first)) = (scan.idempotency, ran_before) {
             host.set_send_deadline(relay, (first + window).saturating_sub(self.timer_margin));
         }
         if self.replicas.states.get(&to).is_some_and(|state| state.next_probe.is_some()) {
@@ -415,8 +424,12 @@
             self.fleet_policy.iter_mut().for_each(|policy| policy.note_retry(host.now(), cell));
             return self.relay(host, id, index, to);
         }
-        let can_wait =
-            |scan: &&mut Scan| may_wait && scan.parts[index].tried.len() < self.retry_budget.max_attempts;
+        let can_wait = |scan: &&mut Scan| {
+            let (part, margin) = (&scan.parts[index], self.timer_margin);
+            may_wait
+                && part.tried.len() < self.retry_budget.max_attempts
+                && part.may_be_sent_again(scan.idempotency, host.now(), margin)
+        };
         let Some(scan) = self.scans.get_mut(&id).filter(can_wait) else { return };
         let (part, time_left) = (&scan.parts[index], scan.deadline.since(host.now()));
         let needed = (2.0 * WEIGHT_TOLERANCE..self.types[scan.traffic_type].min_coverage)
@@ -446,11 +459,7 @@
         let scan = self.scans.get(&id)?;
         let (part, kind, time_left) =
             (&scan.parts[index], &self.types[scan.traffic_type], scan.deadline.since(now));
-        let safe = match (kind.idempotency, part.may_have_run) {
-            (Idempotency::Idempotent, _) | (_, None) => true,
-            (Idempotency::ByKey(window), Some(first)) => now.since(first) + self.timer_margin < window,
-            (Idempotency::NonIdempotent, Some(_)) => false,
-        };
+        let safe = part.may_be_sent_again(scan.idempotency, now, self.timer_margin);
         let allowed = time_left > Span::ZERO
             && self.suspected_deaths(now, scan) < 2
             && part.tried.len() < self.retry_budget.max_attempts;
@@ -558,7 +567,7 @@
                 (scan.step_start, scan.first_step_complete) = (scan.parts.len(), Some(complete));
                 self.scans.insert(id, scan);
             }
-        } else if kind.idempotency == Idempotency::Idempotent && !seems_harmful || never_ran {
+        } else if scan.idempotency == Idempotency::Idempotent && !seems_harmful || never_ran {
             host.reject(id, self.shedding.retry_after);
         } else {
             host.fail(id);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -159,18 +159,23 @@
     pub work_hint: Option<Span>,
     /// Whether the client states that this is a retry.
     pub is_retry: bool,
+    /// Whether each part must reach one searcher at most, whatever its traffic type allows.
+    pub single_delivery: bool,
     pub parts: Vec<PartSpec>,
 }
 
-/// Whether a part of a traffic type may be sent more than once.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// Whether a part may be sent more than once.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Idempotency {
     /// It may be sent any number of times.
     Idempotent,
     /// Searchers deduplicate it by its idempotency key for this long after the first relay that may have run.
     ByKey(Span),
     /// It must not be sent again once a relay may have run.
+    #[default]
     NonIdempotent,
+    /// It must reach one searcher at most: it is not sent again once a relay may have run or was rejected.
+    SingleDelivery,
 }
 
 /// A class of scans, as configured by the deployment.
--- a/src/query.rs
+++ b/src/query.rs
@@ -12,6 +12,8 @@
     pub(crate) in_flight: Option<(Ticket, Moment)>,
     /// When the first relay was sent that is in flight or may have run.
     pub(crate) may_have_run: Option<Moment>,
+    /// Whether a searcher has received it and rejected it.
+    pub(crate) was_rejected: bool,
     pub(crate) succeeded: bool,
     /// Whether it has failed or was skipped, and no relay is in flight or waiting for it.
     pub(crate) failed: bool,
@@ -21,6 +23,8 @@
 #[derive(Default)]
 pub(crate) struct Scan {
     pub(crate) traffic_type: usize,
+    /// Whether its parts may be sent more than once: by its traffic type, unless the scan is stricter.
+    pub(crate) idempotency: Idempotency,
     /// The scan's value for its work relative to the best seen, at most 1.
     pub(crate) priority: f64,
     /// The scan's position among the admitted ones, from 0 to 1, drawn once; it decides which fresh searchers
@@ -39,6 +43,18 @@
     pub(crate) first_step_complete: Option<bool>,
 }
 
+impl Part {
+    /// Whether rule 2 allows another relay of the part now. It is to be sent within `margin`.
+    pub(crate) fn may_be_sent_again(&self, idempotency: Idempotency, now: Moment, margin: Span) -> bool {
+        match (idempotency, self.may_have_run) {
+            (Idempotency::SingleDelivery, None) => !self.was_rejected,
+            (Idempotency::Idempotent, _) | (_, None) => true,
+            (Idempotency::ByKey(window), Some(first)) => now.since(first) + margin < window,
+            (Idempotency::NonIdempotent | Idempotency::SingleDelivery, Some(_)) => false,
+        }
+    }
+}
+
 impl Scan {
     /// Returns the weight that has succeeded in the current step, and the weight that makes the step
     /// complete.
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -104,6 +104,8 @@
     pub mixer: Mixer,
     pub host: FakeHost,
     scans: u32,
+    /// Whether the parts of the scans must reach one searcher at most.
+    pub single_delivery: bool,
 }
 
 /// A traffic type whose scans are answered only from all parts.
@@ -158,7 +160,7 @@
 
 /// A scenario whose mixer has no list of searchers yet.
 pub fn without_searchers(mixer: Mixer) -> Scenario {
-    Scenario { mixer, host: FakeHost { now: START, ..FakeHost::default() }, scans: 0 }
+    Scenario { mixer, host: FakeHost { now: START, ..FakeHost::default() }, scans: 0, single_delivery: false }
 }
 
 impl Scenario {
@@ -208,7 +210,15 @@
         let request = |(shard, weight): (usize, &f64)| PartSpec { shard: shard as u32, weight: *weight };
         let parts = weights.iter().enumerate().map(request).collect();
         let time_left = Span::from_millis(time_left);
-        let scan = ScanSpec { traffic_type, customer: 0, time_left, work_hint: None, is_retry, parts };
+        let scan = ScanSpec {
+            traffic_type,
+            customer: 0,
+            time_left,
+            work_hint: None,
+            is_retry,
+            single_delivery: self.single_delivery,
+            parts,
+        };
         self.mixer.start_scan(&mut self.host, id, scan);
         id
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -118,6 +118,48 @@
     assert_eq!(scenario.host.ending(id), if retried { Some(Ending::Complete) } else { failure });
 }
 
+/// An edit of the query API reached a second node whenever its traffic type allowed a keyed part to be repeated.
+#[test_case(by_key(), RelayOutcome::ConnectionLost, Ending::Failed; "it may have run")]
+#[test_case(by_key(), RelayOutcome::Failed, Ending::Failed; "it failed and may have run")]
+#[test_case(by_key(), RelayOutcome::TimedOut, Ending::Failed; "no answer came")]
+#[test_case(by_key(), RelayOutcome::Rejected, Ending::Rejected; "a searcher had it and rejected it")]
+#[test_case(complete_only(), RelayOutcome::Failed, Ending::Failed; "whatever its traffic type allows")]
+fn a_part_for_a_single_delivery_is_not_sent_again_once_a_searcher_had_it(
+    traffic_type: TrafficType,
+    outcome: RelayOutcome,
+    ending: Ending,
+) {
+    let mut scenario = scenario(traffic_type);
+    scenario.single_delivery = true;
+    let id = scenario.scan(1);
+    scenario.advance(50);
+    scenario.finish_all(id, outcome);
+    assert_eq!((scenario.host.relays.len(), scenario.host.ending(id)), (1, Some(ending)));
+}
+
+#[test_case(RelayOutcome::Unreachable; "without a connection")]
+#[test_case(RelayOutcome::NotSent; "withdrawn before any of it was written")]
+fn a_part_for_a_single_delivery_goes_on_while_no_searcher_had_it(outcome: RelayOutcome) {
+    let mut scenario = scenario(by_key());
+    scenario.single_delivery = true;
+    let id = scenario.scan(1);
+    scenario.finish_all(id, outcome);
+    scenario.finish_all(id, RelayOutcome::Succeeded);
+    assert_eq!((scenario.host.relays.len(), scenario.host.ending(id)), (2, Some(Ending::Complete)));
+}
+
+/// A rejected part that must not go elsewhere has nothing to wait for, even while others are in flight.
+#[test]
+fn a_rejected_part_for_a_single_delivery_ends_its_scan_at_once() {
+    let mut scenario = scenario(by_key());
+    scenario.single_delivery = true;
+    let id = scenario.scan(2);
+    let first = scenario.in_flight(id)[0];
+    scenario.finish(first, RelayOutcome::Rejected);
+    assert_eq!(scenario.host.relays.len(), 2);
+    assert!(scenario.host.ending(id).is_some());
+}
+
 #[test_case(complete_only(), RelayOutcome::Failed, Ending::Rejected; "idempotent")]
 #[test_case(non_idempotent(), RelayOutcome::Rejected, Ending::Rejected; "not idempotent and never ran")]
 #[test_case(by_key(), RelayOutcome::Failed, Ending::Failed; "deduplicated by key, and it may have run")]
@@ -635,19 +677,22 @@
 
 /// Parts on a connection that had fallen silent waited until the deadline while other searchers answered
 /// fast.
-#[test_case(complete_only(), 495, 1, false; "not before a quarter of the target latency")]
-#[test_case(complete_only(), 505, 100, false; "nor before eight times the mean latency")]
-#[test_case(complete_only(), 1_500, 150, false; "nor if less time is left than that")]
-#[test_case(complete_only(), 505, 1, true; "idempotent")]
-#[test_case(by_key(), 505, 1, true; "deduplicated by key, inside its window")]
-#[test_case(non_idempotent(), 505, 1, false; "not idempotent and may have run")]
+#[test_case(complete_only(), 495, 1, false, false; "not before a quarter of the target latency")]
+#[test_case(complete_only(), 505, 100, false, false; "nor before eight times the mean latency")]
+#[test_case(complete_only(), 1_500, 150, false, false; "nor if less time is left than that")]
+#[test_case(complete_only(), 505, 1, false, true; "idempotent")]
+#[test_case(by_key(), 505, 1, false, true; "deduplicated by key, inside its window")]
+#[test_case(by_key(), 505, 1, true, false; "deduplicated by key, but for a single delivery")]
+#[test_case(non_idempotent(), 505, 1, false, false; "not idempotent and may have run")]
 fn a_late_part_is_cancelled_and_sent_to_another_replica(
     traffic_type: TrafficType,
     after: u64,
     latency: u64,
+    single_delivery: bool,
     resent: bool,
 ) {
     let mut scenario = scenario(traffic_type);
+    scenario.single_delivery = single_delivery;
     scenario.warm_up(latency);
     scenario.advance(5_000);
     let id = scenario.scan(2);
