--- a/crates/standins/src/searcher.rs
+++ b/crates/standins/src/searcher.rs
@@ -24,6 +24,18 @@
     Some(if letter == b'm' { frame(b'q', &format!("{id} good 1 -\nof {id}")) } else { Vec::new() })
 }
 
+/// Answers all parts of a call in one write.
+pub fn answer_all_parts(letter: u8, mut rest: &str) -> Option<Vec<u8>> {
+    let mut answers = Vec::new();
+    while letter == b'm' && !rest.is_empty() {
+        let (line, behind) = rest.split_once('\n')?;
+        let (_, length) = line.rsplit_once(' ')?;
+        answers.extend(answer_parts(letter, line)?);
+        rest = behind.get(length.parse().ok()?..)?;
+    }
+    Some(answers)
+}
+
 /// Like [`answer_parts`], 300 ms late.
 pub fn answer_slowly(letter: u8, rest: &str) -> Option<Vec<u8>> {
     thread::sleep(Duration::from_millis(300));
