--- /dev/null
+++ b/review/case-2.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# What the scripts of cases 6 to 10 share: runs one case in a temporary folder, with the deploy file's command for the
+# mixer, and ends every process that it started. Needs the build of the deploy file and review/build-2.sh.
+set -uo pipefail
+case_folder=$1 case_name=$2
+cd "$(dirname "${BASH_SOURCE[0]}")/.." || exit 2
+program=review/standins-2/target/release/case-2
+RUN=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/balancer.toml)
+[ -x "$program" ] && [ -x target/release/fernglade-mixer ] && [ -n "$RUN" ] || { echo "not built"; exit 2; }
+FOLDER=$(mktemp -d) || exit 2
+export RUN FOLDER RECORD="$case_folder/record.txt"
+# A process group of its own, so that nothing of it outlives this script.
+setsid --wait "$program" "$case_name" &
+leader=$!
+trap 'pkill -KILL -s "$session" 2>/dev/null; rm -rf "$FOLDER"' EXIT
+session=$leader
+( sleep 118; kill -KILL -- "$leader" 2>/dev/null ) &
+watchdog=$!
+wait "$leader"; code=$?
+kill "$watchdog" 2>/dev/null
+case $code in 0|1|2) exit "$code" ;; *) exit 2 ;; esac
--- /dev/null
+++ b/review/standins-2/src/main.rs
@@ -0,0 +1,19 @@
+//! The cases of the second review, by number; each ends with 1 if its rule was broken, 0 if it held, 2 if it could
+//! not run.
+
+mod door;
+mod lab;
+mod noise;
+mod slow_discovery;
+
+fn main() {
+    match std::env::args().nth(1).as_deref() {
+        Some("slow-discovery") => slow_discovery::run(),
+        Some("noise") => noise::run(),
+        Some("door") => door::run(),
+        other => {
+            eprintln!("no such case: {other:?}");
+            std::process::exit(2);
+        }
+    }
+}
