--- a/review/case-2.sh
+++ b/review/case-2.sh
@@ -9,13 +9,10 @@
 [ -x "$program" ] && [ -x target/release/fernglade-mixer ] && [ -n "$RUN" ] || { echo "not built"; exit 2; }
 FOLDER=$(mktemp -d) || exit 2
 export RUN FOLDER RECORD="$case_folder/record.txt"
-# A process group of its own, so that nothing of it outlives this script.
-setsid --wait "$program" "$case_name" &
-leader=$!
+# A session of its own, by which all that it starts is found and ended.
+setsid --wait timeout -s KILL 116 "$program" "$case_name" &
+session=$!
 trap 'pkill -KILL -s "$session" 2>/dev/null; rm -rf "$FOLDER"' EXIT
-session=$leader
-( sleep 118; kill -KILL -- "$leader" 2>/dev/null ) &
-watchdog=$!
-wait "$leader"; code=$?
-kill "$watchdog" 2>/dev/null
-case $code in 0|1|2) exit "$code" ;; *) exit 2 ;; esac
+wait "$session"
+code=$?
+case $code in 0 | 1 | 2) exit "$code" ;; *) exit 2 ;; esac
--- a/review/standins-2/src/door.rs
+++ b/review/standins-2/src/door.rs
@@ -3,6 +3,7 @@
 
 use crate::lab::*;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -24,19 +25,19 @@
 const SLACK_MS: u64 = 50;
 
 /// What a bad client sends: a scan that is turned away at once, as its time is over when it comes.
-fn turned_away(id: &str) -> Vec<u8> {
-    let request = String::from_utf8(scan("cue-window", id, 0.001, &[0], "c41e77d0", None)).expect("text");
+fn turned_away(class: &str, id: &str) -> Vec<u8> {
+    let request = String::from_utf8(scan(class, id, 0.001, &[0], "c41e77d0", None)).expect("text");
     request.replacen("\r\n", "\r\nConnection: close\r\n", 1).into_bytes()
 }
 
-fn bad_client(number: u8, address: std::net::SocketAddr, stop: &AtomicBool, asked: &AtomicU64) {
+pub fn bad_client(class: &str, number: u8, address: SocketAddr, stop: &AtomicBool, asked: &AtomicU64) {
     while !stop.load(Ordering::SeqCst) {
         let Ok(mut client) = Client::connect_from([1, 1 + number], address) else {
             thread::sleep(ms(5));
             continue;
         };
         let count = asked.fetch_add(1, Ordering::SeqCst);
-        let request = turned_away(&format!("b{number}x{count}"));
+        let request = turned_away(class, &format!("b{number}x{count}"));
         let _ = client.send(&request).and_then(|()| client.read(ms(60_000)));
     }
 }
@@ -59,7 +60,7 @@
             let (stop, asked) = (stop.clone(), asked.clone());
             thread::spawn(move || {
                 wait_until(BAD_FROM_MS);
-                bad_client(number, address, &stop, &asked);
+                bad_client("cue-window", number, address, &stop, &asked);
             });
         }
         let (stop, asked, record) = (stop.clone(), asked.clone(), record.clone());
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,13 +3,13 @@
 
 mod door;
 mod lab;
-mod noise;
+mod long_texts;
 mod slow_discovery;
 
 fn main() {
     match std::env::args().nth(1).as_deref() {
         Some("slow-discovery") => slow_discovery::run(),
-        Some("noise") => noise::run(),
+        Some("long-texts") => long_texts::run(),
         Some("door") => door::run(),
         other => {
             eprintln!("no such case: {other:?}");
