--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,6 +4,7 @@
 mod door;
 mod lab;
 mod long_texts;
+mod silent_agent;
 mod slow_discovery;
 
 fn main() {
@@ -11,6 +12,7 @@
         Some("slow-discovery") => slow_discovery::run(),
         Some("long-texts") => long_texts::run(),
         Some("door") => door::run(),
+        Some("silent-agent") => silent_agent::run(),
         other => {
             eprintln!("no such case: {other:?}");
             std::process::exit(2);
