--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the second review, by number; each ends with 1 if its rule was broken, 0 if it held, 2 if it could
 //! not run.
 
+mod backlog;
 mod cut_value;
 mod door;
 mod lab;
@@ -11,6 +12,7 @@
         Some("long-texts") => long_texts::run(),
         Some("door") => door::run(),
         Some("cut-value") => cut_value::run(),
+        Some("backlog") => backlog::run(),
         other => {
             eprintln!("no such case: {other:?}");
             std::process::exit(2);
