--- a/review/standins-2/src/door.rs
+++ b/review/standins-2/src/door.rs
@@ -12,11 +12,11 @@
 /// The bad clients, and from when to when they come.
 const BAD_CLIENTS: u8 = 6;
 const BAD_FROM_MS: u64 = 2_000;
-const BAD_UNTIL_MS: u64 = 12_000;
+const BAD_UNTIL_MS: u64 = 20_000;
 /// A usual client comes so often, and at one time so many come at once.
 const USUAL_EVERY_MS: u64 = 50;
-const USUAL: u32 = 400;
-const BURST_FROM: u32 = 160;
+const USUAL: u32 = 600;
+const BURST_FROM: u32 = 320;
 const BURST: u32 = 32;
 /// How long a usual client waits: the whole time of its class.
 const TIMEOUT_MS: u64 = 4_000;
@@ -88,7 +88,7 @@
             };
             let sent = client.send(&request);
             let at = Instant::now();
-            let answer = sent.and_then(|()| client.read(ms(20_000)));
+            let answer = sent.and_then(|()| client.read(ms(12_000)));
             let took = at.elapsed();
             let status = answer.as_ref().map(|answer| answer.status);
             record.note(format!("client: {id} {status:?} after {:.3} s", took.as_secs_f64()));
@@ -113,7 +113,7 @@
         results.len(),
         LATE_MS + SLACK_MS,
     ));
-    if results.len() < 300 || (has_trouble() && asked < 1_000) {
+    if results.len() < 400 || (has_trouble() && asked < 1_000) {
         cannot_run(&record, "too few clients were accepted by the machine");
     }
     std::process::exit(i32::from(lost > 0));
