--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,5 @@
 #!/usr/bin/env bash
-here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../case-2.sh" "$here" long-texts
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no disruption.
+# What was sent, answered and run is written to record.txt in this folder, as it happens.
+here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
+exec "$here/../case-2.sh" long-texts "$here/record.txt"
