Count how often each limit on work makes a peer wait

Cause: WorkLimiter returns spans that its callers sleep; nothing counts them.

Change: wait_record.rs keeps for each limit how many waits there were, how long together, and the longest. /figures has them (fernglade_limit_waits, fernglade_limit_wait_seconds, fernglade_limit_longest_wait_seconds, by limit), and a wait of 50 ms or longer is logged once in ten seconds. A peer is a client, a searcher or discovery. No wait is changed.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`ResourceShortage`]: whether a failed system call justifies evicting a connection
 //! - [`MemoryBudget`]: how much memory a request or an answer may take, and who gives way
 //! - [`WorkLimiter`]: how long a peer's next input waits, from the work that it has caused
+//! - [`WaitRecord`]: how often each limit made a peer wait
 //!
 //! How each table is emptied: a connection's entry is removed when it closes, the counts of a client or
 //! prefix with its last connection, and a rate limiter's bucket once it is full again (or earlier, to make
@@ -27,6 +28,7 @@
 mod policy;
 mod rate_limits;
 mod shortage;
+mod wait_record;
 mod work_limiter;
 
 pub use client_key::{ClientKey, KnownNetworks, Prefix};
@@ -36,7 +38,8 @@
 pub use memory_budget::{choose_reclaimed, Holding, HoldingKind, MemoryBudget, MIN_LIMIT_BYTES};
 pub use policy::AdmissionPolicy;
 pub use shortage::{FailureResponse, ResourceShortage};
-pub use work_limiter::{PeerWork, Work, WorkLimiter};
+pub use wait_record::{Limit, WaitRecord, Waits};
+pub use work_limiter::{Delay, PeerKind, PeerWork, Work, WorkLimiter};
 
 /// Identifies a connection from when it is accepted until its descriptor is free again. Ids are never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/admission/src/work_limiter.rs
+++ b/crates/admission/src/work_limiter.rs
@@ -8,6 +8,7 @@
 //!
 //! The state is one point in time for each peer, and one for all.
 
+use crate::wait_record::{Limit, WaitRecord};
 use fernglade::{Moment, Span};
 
 /// How much one peer may owe before it waits.
@@ -103,9 +104,30 @@
     }
 }
 
+/// Who a peer is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PeerKind {
+    #[default]
+    Client,
+    Searcher,
+    Discovery,
+}
+
+impl PeerKind {
+    /// The limit by which a peer waits for what its own work has cost.
+    fn own_limit(self) -> Limit {
+        match self {
+            Self::Client => Limit::ClientWork,
+            Self::Searcher => Limit::SearcherWork,
+            Self::Discovery => Limit::DiscoveryWork,
+        }
+    }
+}
+
 /// The work that one peer has caused.
 #[derive(Debug, Default)]
 pub struct PeerWork {
+    kind: PeerKind,
     debt: Debt,
     charged_at: Moment,
     /// What was charged since an answer of this peer was last used.
@@ -113,17 +135,30 @@
 }
 
 impl PeerWork {
+    /// A peer that has caused no work yet.
+    pub fn new(kind: PeerKind) -> Self {
+        Self { kind, ..Self::default() }
+    }
+
     /// Whether the peer's next input may be read whatever the time is.
     pub fn owes_little(&self) -> bool {
         self.debt.owed(self.charged_at) <= FREE_OF_TOTAL
     }
 }
 
+/// How long a peer's next input has to wait, and for which limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Delay {
+    pub limit: Limit,
+    pub wait: Span,
+}
+
 /// The work that all peers together have caused.
 #[derive(Debug, Default)]
 pub struct WorkLimiter {
     total: Debt,
     accepted: Debt,
+    waits: WaitRecord,
 }
 
 impl WorkLimiter {
@@ -134,6 +169,16 @@
         self.accepted.owed(now).saturating_sub(ACCEPT_BURST)
     }
 
+    /// How often each limit made a peer wait.
+    pub fn waits(&self) -> &WaitRecord {
+        &self.waits
+    }
+
+    /// Records a wait that a peer begins.
+    pub fn wait_begins(&mut self, limit: Limit, wait: Span) {
+        self.waits.record(limit, wait);
+    }
+
     /// Records work of a peer.
     pub fn charge(&mut self, peer: &mut PeerWork, all: &[Work], now: Moment) {
         peer.charged_at = now;
@@ -159,18 +204,16 @@
 
     /// How long the peer's next input has to wait; zero if it may be read at once. `is_awaited` states that
     /// something is under way for the peer, so that its end must be learnt soon.
-    pub fn delay(&self, peer: &PeerWork, is_awaited: bool, now: Moment) -> Span {
+    pub fn delay(&self, peer: &PeerWork, is_awaited: bool, now: Moment) -> Delay {
         let owed = peer.debt.owed(now);
         if owed <= FREE_OF_TOTAL {
-            return Span::ZERO;
+            return Delay { limit: peer.kind.own_limit(), wait: Span::ZERO };
         }
         let for_others = self.total.owed(now).saturating_sub(TOTAL_BURST).min(MAX_TOTAL_DELAY);
-        let delay = owed.saturating_sub(BURST).max(for_others);
-        if is_awaited {
-            delay.min(MAX_AWAITED_DELAY)
-        } else {
-            delay
-        }
+        let own = owed.saturating_sub(BURST);
+        let limit = if for_others > own { Limit::AllClientsWork } else { peer.kind.own_limit() };
+        let wait = own.max(for_others);
+        Delay { limit, wait: if is_awaited { wait.min(MAX_AWAITED_DELAY) } else { wait } }
     }
 
     /// How long the next call to a peer has to wait, as its answers have cost more than its share.
--- a/crates/admission/src/work_limiter/tests.rs
+++ b/crates/admission/src/work_limiter/tests.rs
@@ -12,7 +12,7 @@
         for (peer, next) in states.iter_mut().filter(|(_, next)| *next <= now) {
             limiter.charge(peer, &[work], now);
             done += 1;
-            *next = now + limiter.delay(peer, false, now);
+            *next = now + limiter.delay(peer, false, now).wait;
         }
     }
     done
@@ -41,10 +41,10 @@
         let now = START + Span::from_millis(step * 10);
         (0..100).for_each(|_| limiter.charge(&mut noisy, &[Work::LocalAnswer], now));
         limiter.charge(&mut usual, &[Work::Bytes(400), Work::Scans(1)], now);
-        assert_eq!(limiter.delay(&usual, false, now), Span::ZERO);
+        assert_eq!(limiter.delay(&usual, false, now).wait, Span::ZERO);
     }
-    assert!(limiter.delay(&noisy, false, START + Span::from_millis(10_000)) > Span::ZERO);
-    assert!(limiter.delay(&PeerWork::default(), false, START) == Span::ZERO, "nor is a new one");
+    assert!(limiter.delay(&noisy, false, START + Span::from_millis(10_000)).wait > Span::ZERO);
+    assert!(limiter.delay(&PeerWork::default(), false, START).wait == Span::ZERO, "nor is a new one");
 }
 
 #[test]
@@ -82,8 +82,8 @@
     let mut limiter = WorkLimiter::default();
     let mut peer = PeerWork::default();
     (0..10_000).for_each(|_| limiter.charge(&mut peer, &[Work::Wakeup, Work::Bytes(1 << 20)], START));
-    assert_eq!(limiter.delay(&peer, true, START), MAX_AWAITED_DELAY);
-    assert!(limiter.delay(&peer, false, START) > Span::from_millis(1_000));
+    assert_eq!(limiter.delay(&peer, true, START).wait, MAX_AWAITED_DELAY);
+    assert!(limiter.delay(&peer, false, START).wait > Span::from_millis(1_000));
 }
 
 /// Guards against long bodies, requests of many searches and long lists that cost no more than short ones.
--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -150,7 +150,8 @@
                 }
                 Reply::Health(ready) => scans::health_response(*ready, last),
                 Reply::Metrics(metrics) => {
-                    scans::metrics_response(&self.identity.metrics(metrics).encode(), last)
+                    let metrics = self.identity.metrics(metrics, &handle.limits().waits());
+                    scans::metrics_response(&metrics.encode(), last)
                 }
                 Reply::InvalidRequest(why) if !connection.draining.get() => {
                     let (response, delay) = (scans::error_response(why, last), handle.limits().error_delay());
--- a/crates/mixer/src/program/identity.rs
+++ b/crates/mixer/src/program/identity.rs
@@ -2,8 +2,9 @@
 //! of the process.
 
 use super::Config;
-use crate::protocol::metrics::{bucket_bounds_micros, MixerMetrics, TrafficTypeMetrics};
+use crate::protocol::metrics::{bucket_bounds_micros, LimitWaits, MixerMetrics, TrafficTypeMetrics};
 use crate::routing::{Metrics, TrafficTypeCounts};
+use fernglade_admission::{Limit, WaitRecord};
 use fernglade_orders::{digest, OperatorConfig};
 use std::cell::{Cell, RefCell};
 use std::net::IpAddr;
@@ -56,8 +57,8 @@
         self.settings_refused.set(true);
     }
 
-    /// The metrics to be reported, from those of the routing state.
-    pub fn metrics(&self, metrics: &Metrics) -> MixerMetrics {
+    /// The metrics to be reported, from those of the routing state and the waits for limits.
+    pub fn metrics(&self, metrics: &Metrics, waits: &WaitRecord) -> MixerMetrics {
         let of_type = |(name, line): &(String, TrafficTypeCounts)| TrafficTypeMetrics {
             name: name.clone(),
             taken: line.taken,
@@ -87,6 +88,7 @@
                 ("scan", metrics.memory_refusals.scans),
                 ("value", metrics.memory_refusals.values),
             ],
+            limit_waits: Limit::ALL.iter().map(|limit| limit_waits(*limit, waits)).collect(),
             repeated_ids: metrics.repeated_ids,
             searchers_ready: metrics.searchers_listed,
             relays: metrics.relays,
@@ -95,6 +97,16 @@
     }
 }
 
+fn limit_waits(limit: Limit, record: &WaitRecord) -> LimitWaits {
+    let waits = record.of(limit);
+    LimitWaits {
+        limit: limit.name(),
+        count: waits.count,
+        total_seconds: waits.total.micros() as f64 / 1e6,
+        longest_seconds: waits.longest.micros() as f64 / 1e6,
+    }
+}
+
 /// Resident memory from the second field of statm, in pages; 0 if it cannot be read.
 pub fn resident_bytes() -> u64 {
     let read = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
--- a/crates/mixer/src/program/links.rs
+++ b/crates/mixer/src/program/links.rs
@@ -11,7 +11,7 @@
 use crate::transport::{
     run_connection, ConnectionControl, Notify, ReadBuffer, ReadPermit, StreamEnd, WriteProgress,
 };
-use fernglade_admission::PeerWork;
+use fernglade_admission::{PeerKind, PeerWork};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -84,7 +84,7 @@
             to,
             hedged_attempt: Notify::default(),
             pending: RefCell::default(),
-            work: RefCell::default(),
+            work: PeerWork::new(PeerKind::Searcher).into(),
             answer_bytes: Cell::new(0),
         });
         self.0.borrow_mut().insert(link, link_handle.clone());
--- a/crates/mixer/src/program/peer_limits.rs
+++ b/crates/mixer/src/program/peer_limits.rs
@@ -4,7 +4,8 @@
 
 use super::clock::{duration, Clock};
 use crate::transport::ReadPermit;
-use fernglade_admission::{MemoryBudget, PeerWork, Work, WorkLimiter};
+use fernglade::Span;
+use fernglade_admission::{Delay, Limit, MemoryBudget, PeerWork, WaitRecord, Work, WorkLimiter};
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
@@ -15,6 +16,9 @@
 /// Least time between two log lines about a lasting shortage.
 const WARNING_INTERVAL: Duration = Duration::from_secs(10);
 
+/// A wait that is worth a line in the log, if there was none for a while.
+const LOGGED_WAIT: Span = Span::from_millis(50);
+
 /// The limits that all peers share.
 pub struct PeerLimits {
     clock: Clock,
@@ -22,13 +26,20 @@
     memory: MemoryBudget,
     reclaimed_at: Cell<Option<Instant>>,
     warned_at: Cell<Option<Instant>>,
+    wait_logged_at: Cell<Option<Instant>>,
 }
 
 impl PeerLimits {
     /// Limits that no peer has made use of yet.
     pub fn new(clock: Clock, memory: MemoryBudget) -> Self {
-        let never = Cell::new(None);
-        Self { clock, work: RefCell::default(), memory, reclaimed_at: never.clone(), warned_at: never }
+        Self {
+            clock,
+            work: RefCell::default(),
+            memory,
+            reclaimed_at: Cell::new(None),
+            warned_at: Cell::new(None),
+            wait_logged_at: Cell::new(None),
+        }
     }
 
     /// How much may be held for one request that is still arriving.
@@ -43,13 +54,6 @@
 
     /// Whether connections are to be chosen now that give way, as memory is short; false if they just were.
     pub fn is_reclaim_due(&self) -> bool {
-        let is_due = |last: &Cell<Option<Instant>>, interval| {
-            let due = last.get().is_none_or(|at| at.elapsed() >= interval);
-            if due {
-                last.set(Some(Instant::now()));
-            }
-            due
-        };
         if is_due(&self.warned_at, WARNING_INTERVAL) {
             let (allocated, usable) = (allocated_bytes(), self.memory.limit().unwrap_or(0));
             log::warn!("memory is short: {allocated} of {usable} bytes are allocated");
@@ -60,7 +64,8 @@
     /// Records an accepted connection, whose peer may have left already, and returns how long the next one has to
     /// wait.
     pub fn connection_accepted(&self, has_left: bool) -> Duration {
-        duration(self.work.borrow_mut().connection_accepted(has_left, self.clock.now()))
+        let wait = self.work.borrow_mut().connection_accepted(has_left, self.clock.now());
+        self.wait_begins(Limit::Accepting, wait)
     }
 
     /// Records work that a peer has caused.
@@ -94,18 +99,52 @@
         if peer.borrow().owes_little() {
             return Duration::ZERO;
         }
-        duration(self.work.borrow().delay(&peer.borrow(), is_awaited, self.clock.now()))
+        let Delay { limit, wait } = self.work.borrow().delay(&peer.borrow(), is_awaited, self.clock.now());
+        self.wait_begins(limit, wait)
     }
 
     /// How long the next call to a peer has to wait, as its answers have cost more than its share.
     pub fn call_delay(&self, peer: &RefCell<PeerWork>) -> Duration {
-        duration(self.work.borrow().call_delay(&peer.borrow(), self.clock.now()))
+        let wait = self.work.borrow().call_delay(&peer.borrow(), self.clock.now());
+        self.wait_begins(Limit::DiscoveryWork, wait)
     }
 
     /// How long the response to an unsound request is held back.
     pub fn error_delay(&self) -> Duration {
-        duration(self.work.borrow().error_delay(self.clock.now()))
+        let wait = self.work.borrow().error_delay(self.clock.now());
+        self.wait_begins(Limit::ErrorResponse, wait)
+    }
+
+    /// How often each limit made a peer wait.
+    pub fn waits(&self) -> WaitRecord {
+        *self.work.borrow().waits()
+    }
+
+    /// Records a wait, and logs a long one once in a while.
+    fn wait_begins(&self, limit: Limit, wait: Span) -> Duration {
+        self.work.borrow_mut().wait_begins(limit, wait);
+        if wait >= LOGGED_WAIT && is_due(&self.wait_logged_at, WARNING_INTERVAL) {
+            let waits = self.waits().of(limit);
+            log::info!(
+                "limit on {}: a wait of {} ms; {} waits since the start, {} ms together, {} ms the longest",
+                limit.name(),
+                wait.micros() / 1_000,
+                waits.count,
+                waits.total.micros() / 1_000,
+                waits.longest.micros() / 1_000,
+            );
+        }
+        duration(wait)
+    }
+}
+
+/// Whether an interval has passed since `last`, which is then set to now.
+fn is_due(last: &Cell<Option<Instant>>, interval: Duration) -> bool {
+    let due = last.get().is_none_or(|at| at.elapsed() >= interval);
+    if due {
+        last.set(Some(Instant::now()));
     }
+    due
 }
 
 /// The bytes that the whole program has allocated.
--- a/crates/mixer/src/program/watch.rs
+++ b/crates/mixer/src/program/watch.rs
@@ -5,7 +5,7 @@
 use crate::protocol::http::{get_request, Message, Reader, MAX_UNREAD_BYTES};
 use crate::routing::Event;
 use crate::transport::{dial, has_unread_input, read, sleep, timeout, write_all, Notify, ReadBuffer, Stream};
-use fernglade_admission::{PeerWork, Work};
+use fernglade_admission::{PeerKind, PeerWork, Work};
 use futures_lite::future;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -65,7 +65,12 @@
     // Failed requests in a row.
     let mut failures: u32 = 0;
     let mut request = requests.next().await;
-    let mut agent = Agent { at: request.0, stream: None, handle: handle.clone(), work: RefCell::default() };
+    let mut agent = Agent {
+        at: request.0,
+        stream: None,
+        handle: handle.clone(),
+        work: PeerWork::new(PeerKind::Discovery).into(),
+    };
     loop {
         let (at, after, waits) = request;
         if agent.at != at {
--- a/crates/mixer/src/protocol/metrics.rs
+++ b/crates/mixer/src/protocol/metrics.rs
@@ -29,6 +29,15 @@
     pub total_seconds: f64,
 }
 
+/// The waits that one limit has caused.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LimitWaits {
+    pub limit: &'static str,
+    pub count: u64,
+    pub total_seconds: f64,
+    pub longest_seconds: f64,
+}
+
 /// Metrics of this mixer.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct MixerMetrics {
@@ -50,6 +59,8 @@
     pub allocatable_bytes: u64,
     /// What was refused for want of memory, and how often.
     pub memory_refusals: Vec<(&'static str, u64)>,
+    /// How often each limit made a peer wait.
+    pub limit_waits: Vec<LimitWaits>,
     /// Requests refused because their id may have run.
     pub repeated_ids: u64,
     /// Searchers listed as ready.
@@ -108,6 +119,7 @@
         for (what, count) in &metrics.memory_refusals {
             encode_count(&mut refused, &[("what", what)], *count)?;
         }
+        encode_limit_waits(&mut encoder, &metrics.limit_waits)?;
         let help = "Requests refused because their id is open or may have run";
         let mut repeated =
             encoder.encode_descriptor("fernglade_repeated_ids", help, None, MetricType::Counter)?;
@@ -170,6 +182,29 @@
     }
 }
 
+fn encode_limit_waits(encoder: &mut DescriptorEncoder, waits: &[LimitWaits]) -> fmt::Result {
+    let help = "How often a limit made a peer wait";
+    let mut counts = encoder.encode_descriptor("fernglade_limit_waits", help, None, MetricType::Counter)?;
+    for of_limit in waits {
+        encode_count(&mut counts, &[("limit", of_limit.limit)], of_limit.count)?;
+    }
+    let help = "Seconds that peers waited for a limit, together";
+    let mut totals =
+        encoder.encode_descriptor("fernglade_limit_wait_seconds", help, None, MetricType::Counter)?;
+    for of_limit in waits {
+        let label = [("limit", of_limit.limit)];
+        let mut total = totals.encode_family(&label)?;
+        total.encode_counter::<NoLabelSet, f64, u64>(&of_limit.total_seconds, None)?;
+    }
+    let help = "Seconds of the longest wait for a limit";
+    let name = "fernglade_limit_longest_wait_seconds";
+    let mut longest = encoder.encode_descriptor(name, help, None, MetricType::Gauge)?;
+    for of_limit in waits {
+        longest.encode_family(&[("limit", of_limit.limit)])?.encode_gauge(&of_limit.longest_seconds)?;
+    }
+    Ok(())
+}
+
 fn encode_gauge(
     encoder: &mut DescriptorEncoder,
     name: &str,
