Bound the debt of accepted connections, and end its waits with the gate

Cause: each accepted connection adds 0.5 ms to a debt without a bound, which is slept off at once, but only after a batch of eight that did not empty the backlog; two earlier returns count and do not wait. The sleep hears neither a stop nor a pause.

Change: a debt has a bound where it is added up (debt.rs); a pause between accepts is 1 ms at the most, made after a batch whether or not the backlog was emptied in between; batches grow from 8 to 32 while it is not (accept_batches.rs, pure). AcceptGate is a file of its own, and every wait of a listener ends with a change of it. The backlog at the stop is accepted in turns, as many as can be pending.

Why it works: a pending connection waits for those before it in the backlog, not for those that were accepted long ago.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -14,15 +14,18 @@
 //! - [`ResourceShortage`]: whether a failed system call justifies evicting a connection
 //! - [`MemoryBudget`]: how much memory a request or an answer may take, and who gives way
 //! - [`WorkLimiter`]: how long a peer's next input waits, from the work that it has caused
+//! - [`AcceptBatches`]: how many pending connections are accepted in a row
 //! - [`WaitRecord`]: how often each limit made a peer wait
 //!
 //! How each table is emptied: a connection's entry is removed when it closes, the counts of a client or
 //! prefix with its last connection, and a rate limiter's bucket once it is full again (or earlier, to make
 //! room for others: `rate_limits.rs`).
 
+mod accept_batches;
 mod client_key;
 mod connections;
 mod controller;
+mod debt;
 mod descriptors;
 mod memory_budget;
 mod policy;
@@ -31,6 +34,7 @@
 mod wait_record;
 mod work_limiter;
 
+pub use accept_batches::{AcceptBatches, NextAccept};
 pub use client_key::{ClientKey, KnownNetworks, Prefix};
 pub use connections::Activity;
 pub use controller::{AdmissionAction, AdmissionController, RejectReason};
--- a/crates/admission/src/work_limiter.rs
+++ b/crates/admission/src/work_limiter.rs
@@ -8,6 +8,7 @@
 //!
 //! The state is one point in time for each peer, and one for all.
 
+use crate::debt::Debt;
 use crate::wait_record::{Limit, WaitRecord};
 use fernglade::{Moment, Span};
 
@@ -28,15 +29,22 @@
 /// The longest wait for the sake of others, of input and of the error response to an unsound request. A client is
 /// owed one within three seconds of connecting.
 const MAX_TOTAL_DELAY: Span = Span::from_millis(1_500);
-/// How many connections may be accepted at once, as the time until as many may be again, and the time for each.
+/// How many connections may be accepted without a pause, as the time until as many may be again, and the time for each.
 const ACCEPT_BURST: Span = Span::from_millis(50);
 const ACCEPT_COST: Span = Span::from_micros(500);
 /// The time for one whose peer has left already: no task is started for it, and those behind it wait.
 const LEFT_ACCEPT_COST: Span = Span::from_micros(125);
+/// The longest pause between two batches of accepts.
+const MAX_ACCEPT_PAUSE: Span = Span::from_millis(1);
+/// The most that accepted connections owe: what was accepted before does not hold up those who come now.
+const MAX_ACCEPT_DEBT: Span = Span::from_micros(ACCEPT_BURST.micros() + MAX_ACCEPT_PAUSE.micros());
 /// The most that the use of an answer takes off its sender's debt, beside the costs of its bytes: it may come in
 /// pieces.
 const ANSWER_CREDIT: Span = Span::from_millis(16);
 
+/// No bound on what is owed.
+const UNBOUNDED: Span = Span::from_millis(86_400_000);
+
 /// A piece of work that a peer has caused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Work {
@@ -84,26 +92,6 @@
     }
 }
 
-/// What is owed: the time at which it will be paid.
-#[derive(Clone, Copy, Debug, Default)]
-struct Debt {
-    paid_at: Moment,
-}
-
-impl Debt {
-    fn add(&mut self, cost: Span, now: Moment) {
-        self.paid_at = self.paid_at.max(now) + cost;
-    }
-
-    fn reduce(&mut self, cost: Span) {
-        self.paid_at = self.paid_at.saturating_sub(cost);
-    }
-
-    fn owed(&self, now: Moment) -> Span {
-        self.paid_at.since(now)
-    }
-}
-
 /// Who a peer is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum PeerKind {
@@ -162,10 +150,11 @@
 }
 
 impl WorkLimiter {
-    /// Records an accepted connection, whose peer may have left already, and returns how long the next one has to
-    /// wait in the backlog.
+    /// Records an accepted connection, whose peer may have left already, and returns the pause that is due after a
+    /// batch of them.
     pub fn connection_accepted(&mut self, has_left: bool, now: Moment) -> Span {
-        self.accepted.add(if has_left { LEFT_ACCEPT_COST } else { ACCEPT_COST }, now);
+        let cost = if has_left { LEFT_ACCEPT_COST } else { ACCEPT_COST };
+        self.accepted.add(cost, MAX_ACCEPT_DEBT, now);
         self.accepted.owed(now).saturating_sub(ACCEPT_BURST)
     }
 
@@ -185,11 +174,11 @@
         for work in all {
             let cost = work.cost();
             let owed = if matches!(work, Work::Bytes(_)) { cost.min(MAX_READ_COST) } else { cost };
-            peer.debt.add(owed, now);
+            peer.debt.add(owed, UNBOUNDED, now);
             peer.charged_since_answer = peer.charged_since_answer + owed;
             // Scans are what the mixer is for; the decision module limits them.
             if !matches!(work, Work::Scans(_)) {
-                self.total.add(Span::from_micros(cost.micros() / TOTAL_DIVISOR), now);
+                self.total.add(Span::from_micros(cost.micros() / TOTAL_DIVISOR), UNBOUNDED, now);
             }
         }
     }
--- a/crates/admission/src/work_limiter/tests.rs
+++ b/crates/admission/src/work_limiter/tests.rs
@@ -116,3 +116,13 @@
     assert!((0..400).all(|_| limiter.connection_accepted(true, START) == Span::ZERO));
     assert_eq!(limiter.connection_accepted(true, START), LEFT_ACCEPT_COST);
 }
+
+/// Guards against a pause that grows with the number of connections that were accepted before.
+#[test]
+fn the_pause_between_accepts_is_bounded_however_many_were_accepted() {
+    let mut limiter = WorkLimiter::default();
+    let longest = (0..100_000).map(|_| limiter.connection_accepted(false, START)).max();
+    assert_eq!(longest, Some(MAX_ACCEPT_PAUSE));
+    let later = START + MAX_ACCEPT_DEBT;
+    assert_eq!(limiter.connection_accepted(false, later), Span::ZERO);
+}
--- a/crates/mixer/src/program/accepting.rs
+++ b/crates/mixer/src/program/accepting.rs
@@ -1,24 +1,20 @@
 //! The listeners: pending connections are accepted in batches while the gate is open.
 
+use super::accept_gate::AcceptGate;
 use super::clients::Clients;
 use super::clock::duration;
 use super::handle::Handle;
 use super::rejections::reject_alone;
 use crate::protocol::scans::retry_later_response;
 use crate::routing::Event;
-use crate::transport::{
-    accept, sleep, Accepted, Direction, Notify, RecheckBackoff, ReserveDescriptor, Socket,
-};
-use fernglade_admission::{FailureResponse, ResourceShortage};
+use crate::transport::{accept, sleep, Accepted, ReserveDescriptor, Socket, LISTEN_BACKLOG};
+use fernglade_admission::{AcceptBatches, FailureResponse, NextAccept, ResourceShortage};
 use futures_lite::future;
-use std::cell::Cell;
 use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Connections accepted before other tasks run: some hundred microseconds of work.
-const BATCH_SIZE: usize = 8;
 /// How long a stopped listener's backlog is still drained while accepts fail.
 const BACKLOG_DRAIN_TIMEOUT: Duration = Duration::from_millis(200);
 /// Pause when not even the reserve descriptor makes an accept succeed: long enough not to spin, short
@@ -27,53 +23,12 @@
 /// Minimum interval between warnings about a lasting shortage.
 const WARNING_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Controls whether one listener accepts clients.
-#[derive(Default)]
-pub struct AcceptGate {
-    paused: Cell<bool>,
-    stopped: Cell<bool>,
-    changed: Notify,
-}
-
-impl AcceptGate {
-    /// Resumes or pauses accepting.
-    pub fn set_open(&self, open: bool) {
-        self.paused.set(!open);
-        self.changed.notify();
-    }
-
-    /// Stops accepting for good; the backlog is drained after that.
-    pub fn stop(&self) {
-        self.stopped.set(true);
-        self.changed.notify();
-    }
-
-    /// Waits until a connection may be pending, or the state of the gate changes.
-    async fn wait_for_connection(&self, listener: &Socket<TcpListener>) {
-        if self.paused.get() {
-            return self.changed.wait().await;
-        }
-        future::or(self.changed.wait(), listener.wait(Direction::Read, &mut RecheckBackoff::default())).await;
-    }
-
-    fn accepts(&self) -> bool {
-        !self.paused.get() && !self.stopped.get()
-    }
-}
-
-/// The state of the backlog after a batch of accepts.
-enum Backlog {
-    /// No connection is left that should be accepted now.
-    Emptied,
-    /// Further connections may be pending.
-    MayHaveMore,
-}
-
-/// One listener with the state of its accept failures.
+/// One listener with the state of its accepts.
 struct Acceptor {
     clients: Rc<Clients>,
     handle: Handle,
     listener: Socket<TcpListener>,
+    batches: AcceptBatches,
     shortage: ResourceShortage,
     reserve: ReserveDescriptor,
     warned_at: Option<Instant>,
@@ -85,57 +40,70 @@
         clients: clients.clone(),
         handle: handle.clone(),
         listener,
+        batches: AcceptBatches::default(),
         shortage: ResourceShortage::default(),
         reserve: ReserveDescriptor::default(),
         warned_at: None,
     };
     let gate = clients.gate(index);
-    while !gate.stopped.get() {
-        match acceptor.batch(gate).await {
-            Backlog::Emptied => gate.wait_for_connection(&acceptor.listener).await,
-            Backlog::MayHaveMore => future::yield_now().await,
+    while !gate.is_stopped() {
+        acceptor.accept_pending(gate).await;
+        if !gate.is_stopped() {
+            gate.wait_for_connection(&acceptor.listener).await;
         }
     }
-    acceptor.drain_backlog().await;
+    acceptor.drain_backlog(gate).await;
     drop(acceptor);
     handle.dispatch(Event::ListenerClosed);
 }
 
 impl Acceptor {
-    /// Accepts up to [`BATCH_SIZE`] connections, none while the gate is not open.
-    async fn batch(&mut self, gate: &AcceptGate) -> Backlog {
-        let mut delay = Duration::ZERO;
-        for _ in 0..BATCH_SIZE {
-            if !gate.accepts() {
-                return Backlog::Emptied;
-            }
+    /// Accepts until no connection is pending or the gate is not open.
+    async fn accept_pending(&mut self, gate: &AcceptGate) {
+        while gate.accepts() {
             match accept(self.listener.get_ref()) {
                 Ok(Some(accepted)) => {
                     let has_left = self.hand_over(accepted);
-                    delay = self.handle.limits().connection_accepted(has_left);
+                    self.finish_accept(gate, has_left).await;
                 }
-                Ok(None) => return Backlog::Emptied,
+                Ok(None) => return self.batches.backlog_emptied(),
                 Err(error) => {
-                    self.accept_failed(&error).await;
-                    return Backlog::MayHaveMore;
+                    self.accept_failed(gate, &error).await;
+                    future::yield_now().await;
                 }
             }
         }
-        if !delay.is_zero() {
-            sleep(delay).await;
+    }
+
+    /// Records an accepted connection, and lets other tasks run or pauses before the next one.
+    async fn finish_accept(&mut self, gate: &AcceptGate, has_left: bool) {
+        let limits = self.handle.limits();
+        match limits.connection_accepted(&mut self.batches, has_left) {
+            NextAccept::AtOnce => {}
+            NextAccept::AfterOthers => future::yield_now().await,
+            NextAccept::AfterPause(pause) => gate.wait_for(limits.accept_pause_begins(pause)).await,
         }
-        Backlog::MayHaveMore
     }
 
-    /// Accepts the connections that the kernel has already established, so that each is served or rejected.
-    async fn drain_backlog(&mut self) {
+    /// Accepts the connections that the kernel has already established, so that each is served or rejected. Those
+    /// that come meanwhile are accepted as well, up to as many as could be pending.
+    async fn drain_backlog(&mut self, gate: &AcceptGate) {
         let began = Instant::now();
-        loop {
+        let mut accepted_count = 0;
+        while accepted_count < LISTEN_BACKLOG {
             match accept(self.listener.get_ref()) {
-                Ok(Some(accepted)) => drop(self.hand_over(accepted)),
+                Ok(Some(accepted)) => {
+                    accepted_count += 1;
+                    let has_left = self.hand_over(accepted);
+                    if self.handle.limits().connection_accepted(&mut self.batches, has_left)
+                        != NextAccept::AtOnce
+                    {
+                        future::yield_now().await;
+                    }
+                }
                 Ok(None) => return,
                 Err(_) if began.elapsed() > BACKLOG_DRAIN_TIMEOUT => return,
-                Err(error) => self.accept_failed(&error).await,
+                Err(error) => self.accept_failed(gate, &error).await,
             }
         }
     }
@@ -150,9 +118,9 @@
         has_left
     }
 
-    async fn accept_failed(&mut self, error: &io::Error) {
+    async fn accept_failed(&mut self, gate: &AcceptGate, error: &io::Error) {
         match self.shortage.record_failure() {
-            FailureResponse::Retry(pause) => sleep(duration(pause)).await,
+            FailureResponse::Retry(pause) => gate.wait_for(duration(pause)).await,
             FailureResponse::FreeDescriptors => self.reject_for_shortage(error).await,
         }
     }
--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -1,6 +1,6 @@
 //! Client connections: admission, reading and answering, one request at a time per connection.
 
-use super::accepting::AcceptGate;
+use super::accept_gate::AcceptGate;
 use super::handle::Handle;
 use super::identity::Identity;
 use super::rejections::Rejections;
--- a/crates/mixer/src/program/mod.rs
+++ b/crates/mixer/src/program/mod.rs
@@ -1,5 +1,6 @@
 //! The mixer program: its configuration, and the wiring of sockets to the routing state machine.
 
+mod accept_gate;
 mod accepting;
 mod answers;
 mod arrivals;
--- a/crates/mixer/src/program/peer_limits.rs
+++ b/crates/mixer/src/program/peer_limits.rs
@@ -5,7 +5,9 @@
 use super::clock::{duration, Clock};
 use crate::transport::ReadPermit;
 use fernglade::Span;
-use fernglade_admission::{Delay, Limit, MemoryBudget, PeerWork, WaitRecord, Work, WorkLimiter};
+use fernglade_admission::{
+    AcceptBatches, Delay, Limit, MemoryBudget, NextAccept, PeerWork, WaitRecord, Work, WorkLimiter,
+};
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
 
@@ -61,11 +63,17 @@
         is_due(&self.reclaimed_at, RECLAIM_INTERVAL)
     }
 
-    /// Records an accepted connection, whose peer may have left already, and returns how long the next one has to
-    /// wait.
-    pub fn connection_accepted(&self, has_left: bool) -> Duration {
-        let wait = self.work.borrow_mut().connection_accepted(has_left, self.clock.now());
-        self.wait_begins(Limit::Accepting, wait)
+    /// Records a connection that a listener has accepted, whose peer may have left already, and returns what happens
+    /// before the next one is accepted.
+    pub fn connection_accepted(&self, batches: &mut AcceptBatches, has_left: bool) -> NextAccept {
+        let now = self.clock.now();
+        let pause = self.work.borrow_mut().connection_accepted(has_left, now);
+        batches.accepted(pause, now)
+    }
+
+    /// Records that a listener pauses, and returns for how long.
+    pub fn accept_pause_begins(&self, pause: Span) -> Duration {
+        self.wait_begins(Limit::Accepting, pause)
     }
 
     /// Records work that a peer has caused.
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -15,6 +15,7 @@
 };
 pub use net::{
     accept, dial, is_local_error, is_resource_shortage, listen, timeout, Accepted, ReserveDescriptor, Stream,
+    LISTEN_BACKLOG,
 };
 pub use notify::Notify;
 pub use reactor::{sleep, sleep_until, Direction, Reactor};
--- a/crates/mixer/src/transport/net.rs
+++ b/crates/mixer/src/transport/net.rs
@@ -18,13 +18,13 @@
 
 /// Length of the listen backlog; the kernel caps it at its own limit. With the standard library's 128, a
 /// burst of clients would have connections dropped and retried a second later, other clients' among them.
-const LISTEN_BACKLOG: i32 = 4096;
+pub const LISTEN_BACKLOG: u16 = 4096;
 
 /// Listens on an address without blocking.
 pub fn listen(address: SocketAddr) -> io::Result<Socket<TcpListener>> {
     let listener = TcpListener::bind(address)?;
     retry_interrupted(|| listener.set_nonblocking(true))?;
-    rustix::net::listen(&listener, LISTEN_BACKLOG)?;
+    rustix::net::listen(&listener, LISTEN_BACKLOG.into())?;
     Ok(Socket::new(listener))
 }
 
--- a/crates/mixer/tests/limits/mod.rs
+++ b/crates/mixer/tests/limits/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)] // Each test file uses its own part of this module.
 
 use fernglade_standins::child::{free_address, mixer_config, start_mixer, temp_file, MixerProcess};
+use fernglade_standins::client::{read_response, send};
 use fernglade_standins::discovery::{agent_with_list, searcher_list};
 use fernglade_standins::documents::answer_searches;
 use fernglade_standins::searcher::{answer_parts, frame, start_searcher, FrameHandler};
@@ -16,7 +17,7 @@
 pub const SERVICE_TIME: Duration = Duration::from_millis(10);
 /// Length of a long value, which just fits into an answer.
 const LONG_VALUE_BYTES: usize = 60_000;
-const OPERATOR: &str = "{ dialect: { indices: { cues: { searches: 'look', customer: 'acme' } } } }";
+const OPERATOR: &str = "{ figures: { to: ['127.0.0.0/8'] }, dialect: { indices: { cues: { searches: 'look', customer: 'acme' } } } }";
 
 /// Answers each part after the usual time, and searches of the query API in its form.
 pub fn answer_after_service(letter: u8, rest: &str) -> Option<Vec<u8>> {
@@ -42,6 +43,15 @@
     answer_after_service(letter, rest)
 }
 
+/// Prints how often each limit made a peer wait.
+pub fn print_waits(mixer: &MixerProcess) {
+    let mut connection = mixer.connect();
+    send(&mut connection, "GET /figures HTTP/1.1\r\n\r\n");
+    let (_, _, metrics) = read_response(&mut connection);
+    let waits = metrics.lines().filter(|line| line.starts_with("fernglade_limit"));
+    waits.for_each(|line| println!("{line}"));
+}
+
 /// Starts a dozen searchers.
 pub fn start_searchers(handler: FrameHandler) -> Vec<SocketAddr> {
     (0..SEARCHERS).map(|_| start_searcher(handler).0).collect()
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`crowd`]: hundreds of clients that make a mixer hold memory
 //! - [`noise`]: one client that sends small or unsound input at full speed
 //! - [`noisy_peers`]: a discovery and a searcher that keep a mixer busy
+//! - [`reconnecting`]: clients that ask on a new connection each time, as fast as they are answered
 //! - [`usual_client`]: a client that asks one scan after another, and how it was answered
 
 pub mod child;
@@ -27,6 +28,7 @@
 pub mod node;
 pub mod noise;
 pub mod noisy_peers;
+pub mod reconnecting;
 pub mod searcher;
 pub mod usual_client;
 
--- a/crates/standins/src/usual_client.rs
+++ b/crates/standins/src/usual_client.rs
@@ -1,7 +1,7 @@
 //! A client that asks one scan after another on one connection, and records how each was answered. It connects
 //! again where the mixer closes its connection between two requests, as the protocol has it.
 
-use crate::client::{client_from_stream, scan_request, try_read_response, Client};
+use crate::client::{client_from_stream, scan_request_for, try_read_response, Client};
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
 use std::io::{self, Write};
@@ -29,12 +29,43 @@
         self.by_status.keys().eq([&200])
     }
 
+    /// How many requests were answered.
+    pub fn count(&self) -> u64 {
+        self.by_status.values().sum()
+    }
+
     /// A quantile of the times, in milliseconds.
     pub fn millis(&self, quantile: f64) -> f64 {
         self.times.value_at_quantile(quantile) as f64 / 1e3
     }
 }
 
+/// What the client asks, and how.
+#[derive(Clone, Copy, Debug)]
+pub struct Habits {
+    /// The time between an answer and the next request.
+    pub pause: Duration,
+    /// Each request is sent on a connection of its own.
+    pub reconnects: bool,
+    /// How long the client waits for an answer, as it tells the mixer.
+    pub time_limit: Duration,
+    /// Length of the text that each request carries.
+    pub text_bytes: usize,
+}
+
+impl Habits {
+    /// A client with short requests on one connection.
+    pub fn with_pause(pause: Duration) -> Self {
+        Self { pause, reconnects: false, time_limit: Duration::from_secs(4), text_bytes: 8 }
+    }
+
+    fn request(&self, name: &str) -> String {
+        let request = scan_request_for(&"x".repeat(self.text_bytes), name, &[0]);
+        let time_limit = format!("X-Timeout: {:.3}", self.time_limit.as_secs_f64());
+        request.replace("X-Timeout: 4.0", &time_limit)
+    }
+}
+
 /// A running client.
 pub struct UsualClient {
     stop: Arc<AtomicBool>,
@@ -44,26 +75,30 @@
 impl UsualClient {
     /// Starts the client; its request ids begin with `name`, and `pause` lies between two requests.
     pub fn start(at: SocketAddr, name: &str, pause: Duration) -> Self {
-        Self::start_with(at, name, pause, false)
+        Self::start_with(at, name, Habits::with_pause(pause))
     }
 
     /// Runs a client for a while that connects anew for each request.
     pub fn run_reconnecting(at: SocketAddr, name: &str, pause: Duration, duration: Duration) -> Answers {
-        let client = Self::start_with(at, name, pause, true);
-        thread::sleep(duration);
-        client.stop()
+        Self::run_with(at, name, Habits { reconnects: true, ..Habits::with_pause(pause) }, duration)
     }
 
-    fn start_with(at: SocketAddr, name: &str, pause: Duration, reconnects: bool) -> Self {
+    /// Starts a client with habits of its own.
+    pub fn start_with(at: SocketAddr, name: &str, habits: Habits) -> Self {
         let (stop, name) = (Arc::new(AtomicBool::new(false)), name.to_string());
         let stopped = stop.clone();
-        let thread = thread::spawn(move || ask_until(at, &name, pause, reconnects, &stopped));
+        let thread = thread::spawn(move || ask_until(at, &name, habits, &stopped));
         Self { stop, thread }
     }
 
     /// Runs the client for a while.
     pub fn run(at: SocketAddr, name: &str, pause: Duration, duration: Duration) -> Answers {
-        let client = Self::start(at, name, pause);
+        Self::run_with(at, name, Habits::with_pause(pause), duration)
+    }
+
+    /// Runs a client with habits of its own for a while.
+    pub fn run_with(at: SocketAddr, name: &str, habits: Habits, duration: Duration) -> Answers {
+        let client = Self::start_with(at, name, habits);
         thread::sleep(duration);
         client.stop()
     }
@@ -75,7 +110,7 @@
     }
 }
 
-fn ask_until(at: SocketAddr, name: &str, pause: Duration, reconnects: bool, stop: &AtomicBool) -> Answers {
+fn ask_until(at: SocketAddr, name: &str, habits: Habits, stop: &AtomicBool) -> Answers {
     let times = Histogram::new_with_bounds(1, 60_000_000, 3).expect("valid histogram bounds");
     let mut answers = Answers { by_status: BTreeMap::new(), times };
     let mut connection = None;
@@ -83,12 +118,15 @@
         if stop.load(Ordering::Relaxed) {
             break;
         }
-        let (started, request) = (Instant::now(), scan_request(&format!("{name}{number}"), &[0]));
+        let request = habits.request(&format!("{name}{number}"));
+        let started = Instant::now();
         let status = (0..MAX_CONNECTIONS).find_map(|_| ask(at, &mut connection, &request).ok());
         *answers.by_status.entry(status.unwrap_or(0)).or_default() += 1;
         let _ = answers.times.record(started.elapsed().as_micros() as u64);
-        connection = connection.filter(|_| !reconnects);
-        thread::sleep(pause);
+        connection = connection.filter(|_| !habits.reconnects);
+        if !habits.pause.is_zero() {
+            thread::sleep(habits.pause);
+        }
     }
     answers
 }
