Have nobody wait for work that others caused, nor longer than 0.1 s

Cause: the work of all peers was one debt without a bound, to which served requests counted like noise, and which every peer paid that owed over 50 ms itself; waits were asked for again before anything was read.

Evidence: the counts of waits: the limit on the work of all 10 and 11 waits, 1.5 s the longest, the client's own work none.

Change: what leads to a served request is taken back (request_served), so that only work in vain is owed. Only clients wait for clients, if they did much in vain themselves. Each debt is bounded where it is added up; a wait is 0.1 s at the most, 0.04 while something is under way, and one is made only after further work: who has waited is read from, up to the end of a request. Reads of what came together are one wake. Error responses are held back 0.1 s for 1.5; a searcher's input waits 0.1 s at the most, it was without an end. Work, PeerWork and Debt are files of their own. limits-bench share measures closed loops.

Why it works: noise owes as before and pays itself, in waits that do not grow with what was sent; a served client owes nothing.

In the pure module a proptest plays series of minutes. a_peer_with_something_under_way_waits_for_a_short_time_only wanted over 1 s for an idle peer; that wait is the fault, and it wants MAX_WAIT to the microsecond now. The other tests of the module are unchanged but for names.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -28,10 +28,12 @@
 mod debt;
 mod descriptors;
 mod memory_budget;
+mod peer_work;
 mod policy;
 mod rate_limits;
 mod shortage;
 mod wait_record;
+mod work;
 mod work_limiter;
 
 pub use accept_batches::{AcceptBatches, NextAccept};
@@ -40,10 +42,12 @@
 pub use controller::{AdmissionAction, AdmissionController, RejectReason};
 pub use descriptors::DescriptorBudget;
 pub use memory_budget::{choose_reclaimed, Holding, HoldingKind, MemoryBudget, MIN_LIMIT_BYTES};
+pub use peer_work::{PeerKind, PeerWork};
 pub use policy::AdmissionPolicy;
 pub use shortage::{FailureResponse, ResourceShortage};
 pub use wait_record::{Limit, WaitRecord, Waits};
-pub use work_limiter::{Delay, PeerKind, PeerWork, Work, WorkLimiter};
+pub use work::Work;
+pub use work_limiter::{Delay, ServedRequest, WorkLimiter};
 
 /// Identifies a connection from when it is accepted until its descriptor is free again. Ids are never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/admission/src/work_limiter.rs
+++ b/crates/admission/src/work_limiter.rs
@@ -1,34 +1,33 @@
-//! Bounds the work that one peer makes the event loop do, whatever it sends: what goes beyond waits its turn.
+//! Bounds the work that peers make the event loop do, whatever they send: what goes beyond waits its turn.
 //!
 //! Called by the mixer's tasks. Each piece of work has a cost, which is the time until as much may be done again.
-//! A peer owes the costs of its work less the time that has passed since, and waits while it owes more than
-//! [`BURST`]. All peers together owe a smaller cost for the same work; while that is beyond [`TOTAL_BURST`], a peer
-//! waits that owes more than [`FREE_OF_TOTAL`] itself. A peer that begins, or that sends one request after
-//! another, owes less than that and is never delayed.
+//! A peer owes the costs of its work less the time that has passed since, and waits while it owes more than [`BURST`].
+//! What led to something is taken back: an answer that had been asked for, a request that searchers received.
 //!
-//! The state is one point in time for each peer, and one for all.
+//! All clients together owe a fraction of what each has done in vain. While that is beyond [`ALL_CLIENTS_BURST`], a
+//! client that owes more than [`FREE_IN_VAIN`] itself for work in vain waits, and so do error responses.
+//!
+//! No wait is longer than [`MAX_WAIT`], and one is made only after further work: whoever has waited is read from. Each
+//! debt is bounded where it is added up, so that no wait grows with how much was sent.
 
 use crate::debt::Debt;
+use crate::peer_work::{PeerKind, PeerWork, BURST, FREE_IN_VAIN};
 use crate::wait_record::{Limit, WaitRecord};
+use crate::work::Work;
 use fernglade::{Moment, Span};
 
-/// How much one peer may owe before it waits.
-const BURST: Span = Span::from_millis(300);
-/// How much all peers together may owe before any of them waits.
-const TOTAL_BURST: Span = Span::from_millis(250);
-/// A peer that owes no more than this never waits for others.
-const FREE_OF_TOTAL: Span = Span::from_millis(50);
-/// What all peers together owe for a piece of work is this fraction (1/n) of what the peer owes.
-const TOTAL_DIVISOR: u64 = 4;
+/// How much all clients together may owe before any of them waits.
+const ALL_CLIENTS_BURST: Span = Span::from_millis(250);
+/// What all clients together owe for a piece of work is this fraction (1/n) of its cost.
+const ALL_CLIENTS_DIVISOR: u64 = 4;
+/// The longest wait: a peer's end has to be learnt within 0.1 s, and a request that has come answered in its time.
+const MAX_WAIT: Span = Span::from_millis(100);
+/// The most that all clients together owe.
+const MAX_OWED_BY_ALL: Span = Span::from_micros(ALL_CLIENTS_BURST.micros() + MAX_WAIT.micros());
 /// The longest wait of a peer for which something is under way: its end has to be learnt within 0.1 s.
-const MAX_AWAITED_DELAY: Span = Span::from_millis(40);
-/// The most that one read adds to what its peer owes.
-const MAX_READ_COST: Span = Span::from_millis(40);
+const MAX_AWAITED_WAIT: Span = Span::from_millis(40);
 /// The longest wait between two calls to discovery: a watch goes on if the next one comes within 0.2 s.
 const MAX_CALL_DELAY: Span = Span::from_millis(150);
-/// The longest wait for the sake of others, of input and of the error response to an unsound request. A client is
-/// owed one within three seconds of connecting.
-const MAX_TOTAL_DELAY: Span = Span::from_millis(1_500);
 /// How many connections may be accepted without a pause, as the time until as many may be again, and the time for each.
 const ACCEPT_BURST: Span = Span::from_millis(50);
 const ACCEPT_COST: Span = Span::from_micros(500);
@@ -38,117 +37,24 @@
 const MAX_ACCEPT_PAUSE: Span = Span::from_millis(1);
 /// The most that accepted connections owe: what was accepted before does not hold up those who come now.
 const MAX_ACCEPT_DEBT: Span = Span::from_micros(ACCEPT_BURST.micros() + MAX_ACCEPT_PAUSE.micros());
-/// The most that the use of an answer takes off its sender's debt, beside the costs of its bytes: it may come in
-/// pieces.
-const ANSWER_CREDIT: Span = Span::from_millis(16);
-
-/// No bound on what is owed.
-const UNBOUNDED: Span = Span::from_millis(86_400_000);
-
-/// A piece of work that a peer has caused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Work {
-    /// The event loop was woken for input that completes nothing.
-    Wakeup,
-    /// So many bytes were read.
-    Bytes(usize),
-    /// The parser took so many steps: lines, chunks, or messages that nobody asked for.
-    ParserSteps(usize),
-    /// The body of a request was parsed, which has about so many values, and passed on.
-    Request { bytes: usize, values: usize },
-    /// A request was answered that no searcher received a part of.
-    LocalAnswer,
-    /// So many searches of one request were answered that no searcher received a part of.
-    LocalSearches(usize),
-    /// So many scans were answered.
-    Scans(usize),
-    /// Answers of shards, of so many bytes, were merged into one.
-    MergedBytes(usize),
-    /// A call to discovery was answered.
-    DiscoveryCall,
-    /// So many entries of a list were parsed.
-    ListEntries(usize),
-    /// A connection was admitted.
-    Connection,
-}
-
-impl Work {
-    /// The time until the same may be done again.
-    fn cost(self) -> Span {
-        let micros = match self {
-            Work::Wakeup => 2_000,
-            // 8 MB/s.
-            Work::Bytes(count) => count as u64 / 8,
-            Work::ParserSteps(count) => count as u64 * 30,
-            Work::Request { bytes, values } => bytes as u64 / 4 + values as u64 * 2,
-            Work::LocalAnswer => 8_000,
-            Work::LocalSearches(count) | Work::Scans(count) => count as u64 * 1_000,
-            Work::MergedBytes(count) => count as u64 / 2,
-            Work::DiscoveryCall => 20_000,
-            Work::ListEntries(count) => count as u64 * 30,
-            Work::Connection => 4_000,
-        };
-        Span::from_micros(micros)
-    }
-}
-
-/// Who a peer is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum PeerKind {
-    #[default]
-    Client,
-    Searcher,
-    Discovery,
-}
-
-impl PeerKind {
-    /// The limit by which a peer waits for what its own work has cost.
-    fn own_limit(self) -> Limit {
-        match self {
-            Self::Client => Limit::ClientWork,
-            Self::Searcher => Limit::SearcherWork,
-            Self::Discovery => Limit::DiscoveryWork,
-        }
-    }
-}
-
-/// The work that one peer has caused.
-#[derive(Debug, Default)]
-pub struct PeerWork {
-    kind: PeerKind,
-    debt: Debt,
-    charged_at: Moment,
-    /// What was charged since an answer of this peer was last used.
-    charged_since_answer: Span,
-}
-
-impl PeerWork {
-    /// A peer that has caused no work yet.
-    pub fn new(kind: PeerKind) -> Self {
-        Self { kind, ..Self::default() }
-    }
-
-    /// Whether the peer's next input may be read whatever the time is.
-    pub fn owes_little(&self) -> bool {
-        self.debt.owed(self.charged_at) <= FREE_OF_TOTAL
-    }
-}
-
-/// How long a peer's next input has to wait, and for which limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Delay {
-    pub limit: Limit,
-    pub wait: Span,
-}
 
-/// The work that all peers together have caused.
+/// The limits on the work of all peers.
 #[derive(Debug, Default)]
 pub struct WorkLimiter {
-    total: Debt,
+    all_clients: Debt,
     accepted: Debt,
     waits: WaitRecord,
 }
 
+/// A request that was of use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServedRequest {
+    /// A scan whose parts searchers received.
+    Scan,
+    /// A request of the query API of which searches were passed on.
+    Searches,
+}
+
 impl WorkLimiter {
     /// Records an accepted connection, whose peer may have left already, and returns the pause that is due after a
     /// batch of them.
@@ -170,39 +76,60 @@
 
     /// Records work of a peer.
     pub fn charge(&mut self, peer: &mut PeerWork, all: &[Work], now: Moment) {
-        peer.charged_at = now;
         for work in all {
-            let cost = work.cost();
-            let owed = if matches!(work, Work::Bytes(_)) { cost.min(MAX_READ_COST) } else { cost };
-            peer.debt.add(owed, UNBOUNDED, now);
-            peer.charged_since_answer = peer.charged_since_answer + owed;
-            // Scans are what the mixer is for; the decision module limits them.
-            if !matches!(work, Work::Scans(_)) {
-                self.total.add(Span::from_micros(cost.micros() / TOTAL_DIVISOR), UNBOUNDED, now);
+            let cost = peer.charge(*work, now);
+            if peer.may_be_in_vain(*work) {
+                let share = Span::from_micros(cost.micros() / ALL_CLIENTS_DIVISOR);
+                peer.charged_to_all(self.all_clients.add(share, MAX_OWED_BY_ALL, now));
             }
         }
     }
 
     /// Records that an answer of so many bytes, which had been asked for, was used: the work was not in vain.
     pub fn answer_used(&mut self, peer: &mut PeerWork, bytes: usize) {
-        let credit = (ANSWER_CREDIT + Work::Bytes(bytes).cost()).min(peer.charged_since_answer);
-        peer.charged_since_answer = Span::ZERO;
-        peer.debt.reduce(credit);
-        self.total.reduce(Span::from_micros(credit.micros() / TOTAL_DIVISOR));
+        peer.answer_used(bytes);
+    }
+
+    /// Records that a client's request was of use: the work was not in vain.
+    pub fn request_served(&mut self, peer: &mut PeerWork, request: ServedRequest) {
+        if !peer.was_served {
+            self.accepted.reduce(ACCEPT_COST);
+        }
+        let charged_to_all = match request {
+            ServedRequest::Scan => peer.scan_served(),
+            ServedRequest::Searches => peer.search_served(),
+        };
+        self.all_clients.reduce(charged_to_all);
+    }
+
+    /// How long the peer's next input has to wait, and for which limit, if a wait begins now; zero if it may be read at
+    /// once. `is_awaited` states that something is under way for the peer, so that its end must be learnt soon.
+    pub fn delay(&mut self, peer: &mut PeerWork, is_awaited: bool, now: Moment) -> Delay {
+        let longest = if is_awaited { MAX_AWAITED_WAIT } else { MAX_WAIT };
+        if let Some(resumes_at) = peer.resumes_at {
+            let resumes_at = resumes_at.min(now + longest);
+            peer.resumes_at = Some(resumes_at);
+            return Delay { wait: resumes_at.since(now), begins_for: None };
+        }
+        let (limit, wait) = self.new_wait(peer, now);
+        let wait = wait.min(longest);
+        peer.resumes_at = Some(now + wait);
+        Delay { wait, begins_for: Some(limit).filter(|_| wait > Span::ZERO) }
     }
 
-    /// How long the peer's next input has to wait; zero if it may be read at once. `is_awaited` states that
-    /// something is under way for the peer, so that its end must be learnt soon.
-    pub fn delay(&self, peer: &PeerWork, is_awaited: bool, now: Moment) -> Delay {
-        let owed = peer.debt.owed(now);
-        if owed <= FREE_OF_TOTAL {
-            return Delay { limit: peer.kind.own_limit(), wait: Span::ZERO };
+    /// How long a wait that begins now would be, and for which limit.
+    fn new_wait(&self, peer: &PeerWork, now: Moment) -> (Limit, Span) {
+        let own = peer.debt.owed(now).saturating_sub(BURST);
+        let for_others = if peer.kind == PeerKind::Client && peer.in_vain.owed(now) > FREE_IN_VAIN {
+            self.all_clients.owed(now).saturating_sub(ALL_CLIENTS_BURST)
+        } else {
+            Span::ZERO
+        };
+        if for_others > own {
+            (Limit::AllClientsWork, for_others)
+        } else {
+            (peer.kind.own_limit(), own)
         }
-        let for_others = self.total.owed(now).saturating_sub(TOTAL_BURST).min(MAX_TOTAL_DELAY);
-        let own = owed.saturating_sub(BURST);
-        let limit = if for_others > own { Limit::AllClientsWork } else { peer.kind.own_limit() };
-        let wait = own.max(for_others);
-        Delay { limit, wait: if is_awaited { wait.min(MAX_AWAITED_DELAY) } else { wait } }
     }
 
     /// How long the next call to a peer has to wait, as its answers have cost more than its share.
@@ -212,9 +139,17 @@
 
     /// How long the response to an unsound request is held back: each one may come on a connection of its own.
     pub fn error_delay(&self, now: Moment) -> Span {
-        self.total.owed(now).saturating_sub(TOTAL_BURST).min(MAX_TOTAL_DELAY)
+        self.all_clients.owed(now).saturating_sub(ALL_CLIENTS_BURST).min(MAX_WAIT)
     }
 }
 
+/// How long a peer's next input has to wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Delay {
+    pub wait: Span,
+    /// The limit for which the peer waits, if the wait begins now.
+    pub begins_for: Option<Limit>,
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/mixer/src/program/clients.rs
+++ b/crates/mixer/src/program/clients.rs
@@ -10,7 +10,9 @@
 use crate::routing::{ClientId, Event, Reply};
 use crate::transport::{sleep, Accepted, ConnectionControl, ReadBuffer, ReadPermit, Socket};
 use fernglade::Span;
-use fernglade_admission::{choose_reclaimed, ClientConnectionId, Holding, HoldingKind, PeerWork, Work};
+use fernglade_admission::{
+    choose_reclaimed, ClientConnectionId, Holding, HoldingKind, PeerWork, ServedRequest, Work,
+};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpStream;
@@ -141,6 +143,9 @@
         self.with(client, |connection| {
             let last = connection.is_final_answer(last);
             handle.limits().charge(&connection.work, &work_of(reply));
+            if let Some(request) = served_request(reply) {
+                handle.limits().request_served(&connection.work, request);
+            }
             let bytes = match reply {
                 Reply::Answer { complete, values } => scans::scan_response(*complete, values, last),
                 Reply::Rejected(retry_after) => retry_later_response(*retry_after, last),
@@ -349,10 +354,10 @@
     }
 }
 
-/// The work that a request has caused, by its answer.
+/// The work that a request has caused, by its answer, beside the reading and parsing of it.
 fn work_of(reply: &Reply) -> Vec<Work> {
     match reply {
-        Reply::Answer { .. } => vec![Work::Scans(1)],
+        Reply::Answer { .. } | Reply::Failed => vec![],
         Reply::QueryApi { status: 200, work, .. } if work.scans + work.local_searches > 0 => vec![
             Work::Scans(work.scans),
             Work::LocalSearches(work.local_searches),
@@ -362,5 +367,14 @@
     }
 }
 
+/// Whether a request was of use, by its answer: searchers received parts of it.
+fn served_request(reply: &Reply) -> Option<ServedRequest> {
+    match reply {
+        Reply::Answer { .. } | Reply::Failed => Some(ServedRequest::Scan),
+        Reply::QueryApi { status: 200, work, .. } if work.scans > 0 => Some(ServedRequest::Searches),
+        _ => None,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/mixer/src/program/links.rs
+++ b/crates/mixer/src/program/links.rs
@@ -215,7 +215,7 @@
             let mut reader = AnswerReader::new(&handle, link, link_handle.protocol, pending, work);
             let permit = |buffer: &ReadBuffer| {
                 let limits = handle.limits();
-                let permit = limits.read_permit(work, true);
+                let permit = limits.read_permit(work, false);
                 if permit != ReadPermit::Unlimited {
                     return permit;
                 }
--- a/crates/mixer/src/program/peer_limits.rs
+++ b/crates/mixer/src/program/peer_limits.rs
@@ -6,7 +6,8 @@
 use crate::transport::ReadPermit;
 use fernglade::Span;
 use fernglade_admission::{
-    AcceptBatches, Delay, Limit, MemoryBudget, NextAccept, PeerWork, WaitRecord, Work, WorkLimiter,
+    AcceptBatches, Delay, Limit, MemoryBudget, NextAccept, PeerWork, ServedRequest, WaitRecord, Work,
+    WorkLimiter,
 };
 use std::cell::{Cell, RefCell};
 use std::time::{Duration, Instant};
@@ -86,6 +87,11 @@
         self.work.borrow_mut().answer_used(&mut peer.borrow_mut(), bytes);
     }
 
+    /// Records that a client's request was of use.
+    pub fn request_served(&self, peer: &RefCell<PeerWork>, request: ServedRequest) {
+        self.work.borrow_mut().request_served(&mut peer.borrow_mut(), request);
+    }
+
     /// Whether the peer's next input may be read. `is_awaited` states that something is under way for it.
     pub fn read_permit(&self, peer: &RefCell<PeerWork>, is_awaited: bool) -> ReadPermit {
         match self.delay(peer, is_awaited) {
@@ -107,8 +113,13 @@
         if peer.borrow().owes_little() {
             return Duration::ZERO;
         }
-        let Delay { limit, wait } = self.work.borrow().delay(&peer.borrow(), is_awaited, self.clock.now());
-        self.wait_begins(limit, wait)
+        let now = self.clock.now();
+        let Delay { wait, begins_for } =
+            self.work.borrow_mut().delay(&mut peer.borrow_mut(), is_awaited, now);
+        match begins_for {
+            Some(limit) => self.wait_begins(limit, wait),
+            None => duration(wait),
+        }
     }
 
     /// How long the next call to a peer has to wait, as its answers have cost more than its share.
--- a/crates/mixer/src/program/requests.rs
+++ b/crates/mixer/src/program/requests.rs
@@ -84,6 +84,16 @@
     clients.closed(&handle, client);
 }
 
+/// What one look at the input has brought.
+struct ReadSummary {
+    /// Bytes that were not there before.
+    received: usize,
+    /// A request was completed.
+    completed: bool,
+    /// Nothing more had been received.
+    emptied: bool,
+}
+
 struct RequestReader<'a> {
     clients: Rc<Clients>,
     stream: &'a Stream,
@@ -172,7 +182,8 @@
             handle.dispatch(event);
         }
         self.unread_before = buffer.unread().len();
-        self.charge(handle, connection, received, completed);
+        let read = ReadSummary { received, completed, emptied: buffer.holds_all_received() };
+        self.charge(handle, connection, &read);
         connection.request_bytes.set(self.reader.allocated_bytes());
         connection.buffered_bytes.set(buffer.allocated_bytes());
         connection.request_start.set(self.request_start);
@@ -191,14 +202,15 @@
         ControlFlow::Continue(())
     }
 
-    /// Records the work that this look at the input was; a completed request is recorded with its answer.
-    fn charge(&mut self, handle: &Handle, connection: &Connection, received: usize, completed: bool) {
+    /// Records the work that this look at the input was; a completed request is recorded with its answer, and reads of
+    /// what had come together are one wakeup.
+    fn charge(&mut self, handle: &Handle, connection: &Connection, read: &ReadSummary) {
         let limits = handle.limits();
         let discarded = connection.control.discarded();
-        let received = received + discarded - std::mem::replace(&mut self.discarded_before, discarded);
+        let received = read.received + discarded - std::mem::replace(&mut self.discarded_before, discarded);
         let steps = self.reader.take_steps();
         let work = [Work::ParserSteps(steps), Work::Bytes(received), Work::Wakeup];
-        match (received, completed) {
+        match (received, read.completed || !read.emptied) {
             (0, _) => {}
             (_, true) => limits.charge(&connection.work, &work[..2]),
             (_, false) => limits.charge(&connection.work, &work),
--- a/crates/standins/src/bin/limits-bench.rs
+++ b/crates/standins/src/bin/limits-bench.rs
@@ -1,6 +1,6 @@
 //! Measures what badly behaved clients cost a mixer: the most memory that it holds under a limit while a crowd
-//! stops inside requests, and how late a usual client is answered while another sends noise at full speed beside
-//! three busy processes on the same core. Results depend on the machine: compare within one run.
+//! stops inside requests; how late a usual client is answered while another sends noise at full speed beside three busy
+//! processes on the same core; and how much clients are served that ask without a pause. Results depend on the machine: compare within one run.
 
 use clap::{Parser, Subcommand};
 use fernglade_standins::child::{free_address, mixer_config, start_mixer, temp_file, MixerProcess};
@@ -10,7 +10,7 @@
 use fernglade_standins::noise::{NoiseForm, NoisyClient};
 use fernglade_standins::noisy_peers::{DiscoveryNoise, SearcherNoise};
 use fernglade_standins::searcher::{answer_parts, frame, start_searcher, FrameHandler};
-use fernglade_standins::usual_client::UsualClient;
+use fernglade_standins::usual_client::{Habits, UsualClient};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -55,6 +55,18 @@
         #[arg(long, default_value_t = 0)]
         core: usize,
     },
+    /// Scans a second of clients that ask one after another without a pause, with nothing else on the mixer.
+    Share {
+        /// Further mixer programs, played in turns with the first.
+        #[arg(long, value_delimiter = ',')]
+        beside: Vec<PathBuf>,
+        /// Lengths of the text that each request carries.
+        #[arg(long, value_delimiter = ',', default_values_t = [100, 8_000, 30_000])]
+        text_bytes: Vec<usize>,
+        /// Clients, each with a connection of its own.
+        #[arg(long, value_delimiter = ',', default_values_t = [1, 4, 32])]
+        connections: Vec<usize>,
+    },
     /// The same beside each form of noise of a discovery and of a searcher.
     Peers {
         /// The core that the mixer and the busy processes run on.
@@ -240,11 +252,49 @@
     }
 }
 
+/// What clients are served that ask without a pause, by each of the programs in turns.
+fn measure_share(arguments: &Arguments, beside: &[PathBuf], text_bytes: &[usize], connections: &[usize]) {
+    println!("| program | text bytes | connections | scans a second | p50 ms | p99 ms | longest ms | others than 200 |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for text_bytes in text_bytes {
+        for connections in connections {
+            for program in std::iter::once(&arguments.mixer).chain(beside) {
+                let habits = Habits { text_bytes: *text_bytes, ..Habits::with_pause(Duration::ZERO) };
+                let row = measure_closed_loops(arguments, program, habits, *connections);
+                println!("| {} | {text_bytes} | {connections} | {row} |", program.display());
+            }
+        }
+    }
+}
+
+fn measure_closed_loops(arguments: &Arguments, program: &Path, habits: Habits, connections: usize) -> String {
+    let habits = Habits { reconnects: arguments.reconnect, ..habits };
+    let mixer = start(program, "share", answer_parts, 192);
+    let start = |number| UsualClient::start_with(mixer.address, &format!("share{number}x"), habits);
+    let clients: Vec<UsualClient> = (0..connections).map(start).collect();
+    thread::sleep(Duration::from_secs(arguments.seconds));
+    let mut all: Vec<_> = clients.into_iter().map(UsualClient::stop).collect();
+    let mut answers = all.pop().expect("there is a client");
+    all.iter().for_each(|others| answers.add(others));
+    let served = answers.by_status.get(&200).copied().unwrap_or(0);
+    format!(
+        "{} | {:.2} | {:.2} | {:.1} | {}",
+        served / arguments.seconds,
+        answers.millis(0.5),
+        answers.millis(0.99),
+        answers.millis(1.0),
+        answers.count() - served
+    )
+}
+
 fn main() {
     let arguments = Arguments::parse();
     match &arguments.what {
         What::Memory { limits, clients, form } => measure_memory(&arguments, limits, *clients, form),
         What::Work { core, form } => measure_work(&arguments, *core, form),
+        What::Share { beside, text_bytes, connections } => {
+            measure_share(&arguments, beside, text_bytes, connections)
+        }
         What::Peers { core } => measure_peers(&arguments, *core),
     }
 }
--- a/crates/standins/src/usual_client.rs
+++ b/crates/standins/src/usual_client.rs
@@ -34,6 +34,14 @@
         self.by_status.values().sum()
     }
 
+    /// Adds the answers of another client.
+    pub fn add(&mut self, others: &Answers) {
+        for (status, count) in &others.by_status {
+            *self.by_status.entry(*status).or_default() += count;
+        }
+        let _ = self.times.add(&others.times);
+    }
+
     /// A quantile of the times, in milliseconds.
     pub fn millis(&self, quantile: f64) -> f64 {
         self.times.value_at_quantile(quantile) as f64 / 1e3
