--- a/crates/mixer/tests/waits_beside_noise.rs
+++ b/crates/mixer/tests/waits_beside_noise.rs
@@ -12,8 +12,6 @@
 use std::time::{Duration, Instant};
 
 const BAD_CLIENTS: u8 = 6;
-/// As many as wait for nothing fill the backlog.
-const CLIENTS_THAT_LEAVE: u8 = 2;
 const NOISE_DURATION: Duration = Duration::from_secs(3);
 /// The time limit of the protocol page's example.
 const TIME_LIMIT: Duration = Duration::from_millis(480);
@@ -116,9 +114,6 @@
     assert_none_lost("long requests", &answers, TIME_LIMIT);
 }
 
-/// The kind of usual client that makes a connection for each request.
-const NEW_EACH_TIME: &str = "new each time";
-
 /// Bad clients of one form.
 #[derive(Clone, Copy, Debug)]
 enum Noise {
@@ -141,21 +136,11 @@
         Self::Kept(NoiseForm::EmptyLines),
     ];
 
-    /// How long after its time a client may be answered. A new one stands in the backlog behind those that leave, however
-    /// fast they come (docs/risks.md); it is not lost.
-    fn grace(self, kind: &str) -> Duration {
-        match (self, kind) {
-            (Self::Reconnecting(ReconnectForm::Nothing), NEW_EACH_TIME) => LOST_AFTER,
-            _ => SLACK,
-        }
-    }
-
     /// Makes noise until the returned function is called.
     fn start(self, at: SocketAddr, duration: Duration) -> Box<dyn FnOnce()> {
         match self {
             Self::Reconnecting(form) => {
-                let count = if form == ReconnectForm::Nothing { CLIENTS_THAT_LEAVE } else { BAD_CLIENTS };
-                let clients = ReconnectingClients::start(at, form, count, duration);
+                let clients = ReconnectingClients::start(at, form, BAD_CLIENTS, duration);
                 Box::new(|| {
                     clients.stop();
                 })
@@ -170,35 +155,61 @@
     }
 }
 
-/// Guards against any form of noise by which usual clients of any kind are answered after their time.
-#[test]
-fn clients_in_a_hurry_are_answered_in_time_beside_any_noise() {
-    let _turn = wait_for_turn();
+/// A kind of usual client, by its name.
+type Kind = (&'static str, Habits);
+
+fn kept_kinds() -> [Kind; 3] {
     let hurried = usual(SHORT_TIME_LIMIT);
-    let kinds = [
+    [
         ("kept", hurried),
         ("kept, no pause", Habits { pause: Duration::ZERO, ..hurried }),
         ("kept, long", Habits { text_bytes: LONG_TEXT_BYTES, ..hurried }),
-        (NEW_EACH_TIME, Habits { reconnects: true, ..hurried }),
-    ];
+    ]
+}
+
+fn new_each_time() -> Kind {
+    ("new each time", Habits { reconnects: true, ..usual(SHORT_TIME_LIMIT) })
+}
+
+/// The kinds of clients that are answered after their time beside this noise.
+fn late_beside(noise: Noise, kinds: &[Kind]) -> Vec<&'static str> {
+    let mixer = start_mixer();
+    let stop_noise = noise.start(mixer.address, NOISE_DURATION * 2);
+    thread::sleep(NOISE_DURATION / 10);
+    let start = |(kind, habits): &Kind| {
+        (*kind, UsualClient::start_with(mixer.address, &kind.replace([' ', ','], "-"), *habits))
+    };
+    let clients: Vec<_> = kinds.iter().map(start).collect();
+    thread::sleep(NOISE_DURATION / 2);
+    let answers: Vec<_> = clients.into_iter().map(|(kind, client)| (kind, client.stop())).collect();
+    stop_noise();
+    limits::print_waits(&mixer);
+    let is_late = |(kind, answers): &(&str, Answers)| {
+        println!("{noise:?}, {kind}: {:?}, {:.1} ms the longest", answers.by_status, answers.millis(1.0));
+        !answers.all_served() || longest(answers) > SHORT_TIME_LIMIT + SLACK
+    };
+    answers.iter().filter(|answers| is_late(answers)).map(|(kind, _)| *kind).collect()
+}
+
+/// Guards against any form of noise by which usual clients of any kind are answered after their time.
+#[test]
+fn clients_in_a_hurry_are_answered_in_time_beside_any_noise() {
+    let _turn = wait_for_turn();
     let mut late = Vec::new();
     for noise in Noise::ALL {
-        let mixer = start_mixer();
-        let stop_noise = noise.start(mixer.address, NOISE_DURATION * 2);
-        thread::sleep(NOISE_DURATION / 10);
-        let clients = kinds.map(|(kind, habits)| {
-            (kind, UsualClient::start_with(mixer.address, &kind.replace([' ', ','], "-"), habits))
-        });
-        thread::sleep(NOISE_DURATION / 2);
-        let answers = clients.map(|(kind, client)| (kind, client.stop()));
-        stop_noise();
-        for (kind, answers) in answers {
-            println!("{noise:?}, {kind}: {:?}, {:.1} ms the longest", answers.by_status, answers.millis(1.0));
-            if !answers.all_served() || longest(&answers) > SHORT_TIME_LIMIT + noise.grace(kind) {
-                late.push((noise, kind));
-            }
+        let mut kinds = kept_kinds().to_vec();
+        if !matches!(noise, Noise::Reconnecting(ReconnectForm::Nothing)) {
+            kinds.push(new_each_time());
         }
-        limits::print_waits(&mixer);
+        late.extend(late_beside(noise, &kinds).into_iter().map(|kind| (noise, kind)));
     }
     assert!(late.is_empty(), "{late:?}");
 }
+
+/// Guards against a backlog in which new clients wait past their time behind those that leave.
+#[test]
+fn new_clients_in_a_hurry_beside_those_that_leave() {
+    let _turn = wait_for_turn();
+    let late = late_beside(Noise::Reconnecting(ReconnectForm::Nothing), &[new_each_time()]);
+    assert!(late.is_empty(), "{late:?}");
+}
